--- a/commands.go
+++ b/commands.go
@@ -26,6 +26,7 @@
 func commands() []*cli.Command {
 	return []*cli.Command{
 		balancerCommand(),
+		hostCommand(),
 		ticketCommand(),
 		statusCommand(),
 		dumpCommand(),
--- /dev/null
+++ b/host/host.go
@@ -0,0 +1,106 @@
+// Package host is the process on an entry host of the platform: it puts
+// sockets, timers, the platform's store and the other hosts round the cores
+// that decide.
+//
+// # Usage
+//
+//	h, err := host.New(host.Config{Boot: boot, Log: logger})
+//	err = h.Run(ctx)
+//
+// One goroutine owns what is believed of the outside and publishes it as an
+// immutable catalog. Another one owns the packets: it reads the catalog without
+// a lock and asks package placement where each packet goes. When ctx ends, the
+// host says that it is not ready, goes on forwarding until the routers have let
+// go of it, and returns.
+package host
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"golang.org/x/sync/errgroup"
+
+	"wisteriaweir/catalog"
+	"wisteriaweir/platform"
+)
+
+// Config says how a Host runs.
+type Config struct {
+	Boot platform.Boot
+	// BootPath is the file that Boot was read from; it is read again when it has
+	// changed. Empty means that there is none.
+	BootPath string
+	Log      log.Interface
+	// Seed seeds the choice between equal targets.
+	Seed uint64
+}
+
+// Host is one entry host.
+type Host struct {
+	cfg     Config
+	log     log.Interface
+	started time.Time
+	conn    *net.UDPConn
+	store   *platform.Store
+	metrics *metrics.Set
+	count   *counters
+
+	current  atomic.Pointer[catalog.Catalog]
+	leaving  atomic.Bool
+	lastSeen atomic.Int64
+}
+
+// New opens the sockets of a host.
+func New(cfg Config) (*Host, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Boot.Packets))
+	if err != nil {
+		return nil, &StartError{Part: "packets", Address: cfg.Boot.Packets.String(), Err: err}
+	}
+	set := metrics.NewSet()
+	h := &Host{
+		cfg:     cfg,
+		log:     cfg.Log,
+		started: time.Now(),
+		conn:    conn,
+		metrics: set,
+		count:   newCounters(set),
+	}
+	h.store = platform.NewStore(platform.StoreConfig{Address: cfg.Boot.Store, Observe: h.count.call})
+	h.current.Store(&catalog.Catalog{})
+	return h, nil
+}
+
+// now returns the time since the start of the process.
+func (h *Host) now() time.Duration {
+	return time.Since(h.started)
+}
+
+// Run serves until ctx ends and the routers have let go of the host.
+func (h *Host) Run(ctx context.Context) error {
+	h.log.WithFields(log.Fields{
+		"packets": h.cfg.Boot.Packets, "domain": h.cfg.Boot.Domain, "store": h.cfg.Boot.Store,
+		"first_start": h.cfg.Boot.FirstStart,
+	}).Info("host: started")
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return h.serveReady(work) })
+	g.Go(func() error { return h.believe(work) })
+	g.Go(func() error { return h.forward(work) })
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			h.leave(work)
+			stop()
+		case <-work.Done():
+		}
+		return nil
+	})
+	err := g.Wait()
+	h.log.WithField("after", h.now()).Info("host: stopped")
+	return err
+}
--- /dev/null
+++ b/placement/flow.go
@@ -0,0 +1,175 @@
+package placement
+
+import (
+	"time"
+
+	"wisteriaweir/packet"
+	"wisteriaweir/route"
+)
+
+const (
+	// sweepEvery is the time between two searches for flows that have gone quiet.
+	sweepEvery = 200 * time.Millisecond
+	// busyLimit is the time after which a request without an answer no longer
+	// counts as load.
+	busyLimit = 2 * time.Second
+	// closedLinger is how long a flow is remembered after its caller ended it.
+	closedLinger = time.Second
+	// defaultIdle is the time after which a quiet flow is forgotten if the routing
+	// table names none.
+	defaultIdle = 15 * time.Second
+	// openingLimit is the time after which the opening of a flow has failed.
+	openingLimit = 1500 * time.Millisecond
+)
+
+// flow is what one balancer has seen of a flow.
+type flow struct {
+	key    packet.Flow
+	target *Target
+	kind   route.Kind
+	// seq is the position of the opening packet.
+	seq uint32
+	// answered says that the target's answer to the opening packet has reached the
+	// caller.
+	answered bool
+	// busy says that a request is in progress since asked.
+	busy  bool
+	asked time.Duration
+	// stalled says that the flow counts among the stalled ones of its target.
+	stalled bool
+	// end is the end of the data seen from the caller, acked what it has got.
+	end   uint32
+	acked uint32
+	// sent is when the newest data was forwarded, last the time of the last packet.
+	sent   time.Duration
+	last   time.Duration
+	opened time.Duration
+	closed bool
+}
+
+// remember adds a flow that has just been placed.
+func (c *Core) remember(now time.Duration, p packet.Packet, t *Target, kind route.Kind) {
+	c.flows[p.Flow] = &flow{
+		key:    p.Flow,
+		target: t,
+		kind:   kind,
+		seq:    p.Seq,
+		end:    p.Seq,
+		opened: now,
+		sent:   now,
+		last:   now,
+	}
+	t.opening++
+	t.open++
+}
+
+// adopt adds a flow that another balancer, or an earlier life of this one, has
+// placed. It returns nil if there is no room.
+func (c *Core) adopt(now time.Duration, p packet.Packet, t *Target, old *flow) *flow {
+	if old != nil {
+		c.drop(old)
+	}
+	if len(c.flows) >= c.cfg.MaxFlows {
+		return nil
+	}
+	f := &flow{
+		key:      p.Flow,
+		target:   t,
+		seq:      p.Seq,
+		end:      p.Seq,
+		acked:    p.Acked,
+		answered: true,
+		opened:   now,
+		sent:     now,
+		last:     now,
+	}
+	if r, ok := c.catalog.Routes().Lookup(route.Address{IP: p.Flow.ServiceIP, Port: p.Flow.ServicePort}); ok {
+		f.kind = r.Kind
+	}
+	c.flows[p.Flow] = f
+	t.open++
+	return f
+}
+
+// drop forgets a flow and takes it out of the counts of its target.
+func (c *Core) drop(f *flow) {
+	c.settle(f)
+	if !f.answered {
+		f.target.opening--
+	}
+	if f.stalled {
+		f.target.stalled--
+	}
+	f.target.open--
+	delete(c.flows, f.key)
+}
+
+// settle ends the request that is in progress.
+func (c *Core) settle(f *flow) {
+	if f.busy {
+		f.busy = false
+		f.target.busy--
+	}
+}
+
+// follow takes in one packet of an open flow.
+func (c *Core) follow(now time.Duration, f *flow, p packet.Packet) {
+	f.last = now
+	progress := false
+	if !f.answered {
+		f.answered = true
+		f.target.opening--
+		f.acked = p.Acked
+		progress = true
+	}
+	if packet.After(p.Acked, f.acked) {
+		f.acked = p.Acked
+		c.settle(f)
+		progress = true
+	}
+	if progress {
+		c.progressed(now, f)
+	}
+	if p.Size > 0 {
+		c.followData(now, f, p)
+	}
+	if p.Flags&(packet.Fin|packet.Rst) != 0 {
+		f.closed = true
+		c.settle(f)
+	}
+}
+
+// followData takes in data from the caller: a new request, more of one, or a
+// repetition of what the target has not acknowledged.
+func (c *Core) followData(now time.Duration, f *flow, p packet.Packet) {
+	if !packet.After(p.End(), f.end) {
+		c.dataRepeated(now, f)
+		return
+	}
+	f.end = p.End()
+	f.sent = now
+	if !f.busy {
+		f.busy = true
+		f.asked = now
+		f.target.busy++
+	}
+}
+
+// sweep forgets flows that have gone quiet or have ended.
+func (c *Core) sweep(now time.Duration) {
+	c.swept = now
+	idle := c.catalog.Routes().Idle()
+	if idle == 0 {
+		idle = defaultIdle
+	}
+	for _, f := range c.flows {
+		quiet := now - f.last
+		switch {
+		case f.closed && quiet > closedLinger, quiet > idle, !f.answered && quiet > openingLimit:
+			c.drop(f)
+		case f.busy && now-f.asked > busyLimit:
+			c.settle(f)
+		}
+	}
+	c.forget(now)
+}
--- /dev/null
+++ b/placement/placement.go
@@ -0,0 +1,167 @@
+// Package placement decides, for each packet of a caller, where it goes: the
+// target of an open flow is found by the stamp that the packet carries, and a
+// new flow is placed on a target by the load and the health that the flows
+// themselves show.
+//
+// # Usage
+//
+//	c := placement.New(placement.Config{Domain: "west-a", Seed: 1})
+//	c.SetCatalog(now, catalog)
+//	switch d := c.Handle(now, p).(type) {
+//	case placement.Forward:
+//		// write d.To.Stamp into an opening packet, send it to d.To.At
+//	case placement.Reject:
+//		// reset the flow towards its caller
+//	case placement.Drop:
+//		// forget the packet, count d
+//	}
+//
+// A Core has no input or output, no clock and no goroutine: time comes in as
+// the time since the start of the process. It is not safe for concurrent use.
+package placement
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"wisteriaweir/catalog"
+	"wisteriaweir/packet"
+	"wisteriaweir/route"
+)
+
+// Decision says what to do with a packet: Forward, Reject or Drop.
+type Decision interface {
+	decision()
+}
+
+// Forward sends the packet to a target.
+type Forward struct {
+	To *Target
+}
+
+// Reject resets the flow towards its caller.
+type Reject struct {
+	Reason Reason
+}
+
+// Drop forgets the packet.
+type Drop struct {
+	Reason Reason
+}
+
+func (Forward) decision() {}
+func (Reject) decision()  {}
+func (Drop) decision()    {}
+
+// Reason says why a packet is not forwarded.
+type Reason uint8
+
+// Reasons of Reject and Drop.
+const (
+	// NoRoute: no route leads from the address.
+	NoRoute Reason = iota + 1
+	// NoTarget: the route's service has no target that takes new flows.
+	NoTarget
+	// UnknownStamp: no target known has the stamp.
+	UnknownStamp
+	// Incomplete: routes or targets are not known yet.
+	Incomplete
+	// TargetDead: the target of the open flow is dead.
+	TargetDead
+	// Full: the table of flows is full.
+	Full
+)
+
+// Config configures a Core.
+type Config struct {
+	// Domain is the failure domain of this host.
+	Domain string
+	// Seed seeds the choice between equal targets.
+	Seed uint64
+	// MaxFlows bounds the flows that are remembered.
+	MaxFlows int
+	// Observe is called for each change of what is believed of a target, if it is
+	// set. It must not block.
+	Observe func(Notice)
+}
+
+// Core places flows.
+type Core struct {
+	cfg     Config
+	rnd     *rand.Rand
+	catalog catalog.Catalog
+	targets map[string]*Target
+	byStamp map[uint32]*Target
+	pools   map[string][]*Target
+	flows   map[packet.Flow]*flow
+	swept   time.Duration
+}
+
+// New returns a core that knows nothing yet.
+func New(cfg Config) *Core {
+	return &Core{
+		cfg:     cfg,
+		rnd:     rand.New(rand.NewPCG(cfg.Seed, 0)),
+		targets: map[string]*Target{},
+		byStamp: map[uint32]*Target{},
+		pools:   map[string][]*Target{},
+		flows:   map[packet.Flow]*flow{},
+	}
+}
+
+// Handle decides on one packet.
+func (c *Core) Handle(now time.Duration, p packet.Packet) Decision {
+	if !c.catalog.Complete() {
+		return Drop{Reason: Incomplete}
+	}
+	if now-c.swept >= sweepEvery {
+		c.sweep(now)
+	}
+	if p.Open() {
+		return c.handleOpen(now, p)
+	}
+	return c.handleData(now, p)
+}
+
+// handleOpen places a new flow, or the copy of an opening packet.
+func (c *Core) handleOpen(now time.Duration, p packet.Packet) Decision {
+	r, ok := c.catalog.Routes().Lookup(route.Address{IP: p.Flow.ServiceIP, Port: p.Flow.ServicePort})
+	if !ok {
+		return Reject{Reason: NoRoute}
+	}
+	f := c.flows[p.Flow]
+	var avoid *Target
+	if f != nil && f.seq == p.Seq && p.Copies > 0 {
+		c.openingRepeated(now, f)
+		avoid = f.target
+	}
+	t := c.choose(now, r.Pick(c.rnd.Float64()), avoid)
+	if t == nil {
+		return Reject{Reason: NoTarget}
+	}
+	if f != nil {
+		c.drop(f)
+	}
+	if len(c.flows) >= c.cfg.MaxFlows {
+		return Reject{Reason: Full}
+	}
+	c.remember(now, p, t, r.Kind)
+	return Forward{To: t}
+}
+
+// handleData finds the target of an open flow by the stamp.
+func (c *Core) handleData(now time.Duration, p packet.Packet) Decision {
+	t := c.byStamp[p.Stamp]
+	if t == nil {
+		return Drop{Reason: UnknownStamp}
+	}
+	f := c.flows[p.Flow]
+	if f == nil || f.target != t {
+		f = c.adopt(now, p, t, f)
+	}
+	if f == nil {
+		return Forward{To: t}
+	}
+	c.follow(now, f, p)
+	return Forward{To: t}
+}
--- /dev/null
+++ b/placement/target.go
@@ -0,0 +1,136 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"wisteriaweir/catalog"
+)
+
+// goneLinger is how long a target that left the catalog is remembered for the
+// flows that it still has. No flow has to be kept longer.
+const goneLinger = 60 * time.Second
+
+// Target is a target with what the flows of this balancer show of it.
+type Target struct {
+	catalog.Target
+	// Stamp marks the packets of the target's flows.
+	Stamp uint32
+
+	// open counts the flows of this balancer, opening those of them whose first
+	// answer is not seen yet, busy the requests in progress.
+	open    int
+	opening int
+	busy    int
+	// warmUntil is the time at which the target's warm-up ends.
+	warmUntil time.Duration
+	// gone is set while the target is not in the catalog, since goneAt.
+	gone   bool
+	goneAt time.Duration
+	// drainingAt is when the target was first seen draining.
+	drainingAt time.Duration
+	// collides says that an older target has the same stamp.
+	collides bool
+	evidence
+}
+
+// StampOf returns the stamp of a target: a hash of its identity, never 0.
+func StampOf(id string) uint32 {
+	h := uint32(xxhash.Sum64String(id))
+	if h == 0 {
+		return 1
+	}
+	return h
+}
+
+// SetCatalog takes in what is believed of the outside.
+func (c *Core) SetCatalog(now time.Duration, cat catalog.Catalog) {
+	c.catalog = cat
+	for id, ct := range cat.Targets() {
+		c.setTarget(now, id, ct)
+	}
+	for id, t := range c.targets {
+		if _, ok := cat.Target(id); !ok && !t.gone {
+			t.gone, t.goneAt = true, now
+			c.notify(TargetGone, t)
+		}
+	}
+	c.index()
+}
+
+// setTarget takes in one entry.
+func (c *Core) setTarget(now time.Duration, id string, ct catalog.Target) {
+	t := c.targets[id]
+	if t == nil {
+		t = &Target{Stamp: StampOf(id)}
+		c.targets[id] = t
+		t.Target = ct
+		t.warmUntil = now + ct.Warmup
+		c.notify(TargetNew, t)
+	}
+	if t.Revision != ct.Revision {
+		t.warmUntil = now + ct.Warmup
+	}
+	if ct.Born != t.Born {
+		t.evidence = evidence{stalled: t.stalled}
+	}
+	if ct.Draining && !t.Draining {
+		t.drainingAt = now
+		c.notify(TargetDraining, t)
+	}
+	t.Target = ct
+	t.gone = false
+}
+
+// forget drops targets that left the catalog long ago.
+func (c *Core) forget(now time.Duration) {
+	changed := false
+	for id, t := range c.targets {
+		if t.gone && t.open == 0 && now-t.goneAt > goneLinger {
+			delete(c.targets, id)
+			changed = true
+		}
+	}
+	if changed {
+		c.index()
+	}
+}
+
+// index rebuilds the lookups. Of several targets with one stamp the one that
+// was born first holds it; the others get no flows.
+func (c *Core) index() {
+	clear(c.byStamp)
+	clear(c.pools)
+	for _, t := range c.sorted() {
+		t.collides = c.byStamp[t.Stamp] != nil
+		if t.collides {
+			c.notify(TargetCollides, t)
+			continue
+		}
+		c.byStamp[t.Stamp] = t
+		if !t.gone {
+			c.pools[t.Service] = append(c.pools[t.Service], t)
+		}
+	}
+}
+
+// sorted returns the targets, those born first in front.
+func (c *Core) sorted() []*Target {
+	all := make([]*Target, 0, len(c.targets))
+	for _, t := range c.targets {
+		all = append(all, t)
+	}
+	slices.SortFunc(all, func(a, b *Target) int {
+		if a.Born != b.Born {
+			if a.Born < b.Born {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.ID, b.ID)
+	})
+	return all
+}
--- /dev/null
+++ b/route/route.go
@@ -0,0 +1,137 @@
+// Package route holds the routing table: which service gets the new flows of
+// an address.
+//
+// # Usage
+//
+//	t := route.NewTable(7, idle, routes)
+//	r, ok := t.Lookup(route.Address{IP: 0xc6120001, Port: 443})
+//	service := r.Pick(draw)
+//
+// A Table never changes, so goroutines share it without a lock.
+package route
+
+import (
+	"slices"
+	"time"
+)
+
+// Kind says what the requests inside the flows of a route allow.
+type Kind string
+
+const (
+	// Safe requests are idempotent: callers repeat them after any failure.
+	Safe Kind = "safe"
+	// Unsafe requests may run at most once.
+	Unsafe Kind = "unsafe"
+	// Upload requests may run at most once and carry a large body.
+	Upload Kind = "upload"
+)
+
+// Address is an IPv4 address in numeric form and a port.
+type Address struct {
+	IP   uint32
+	Port uint16
+}
+
+// Share is the part of a route's new flows that one service gets.
+type Share struct {
+	Service string
+	// Weight is relative to the other shares of the route.
+	Weight int
+}
+
+// Route sends the new flows of an address to services.
+type Route struct {
+	Name   string
+	At     Address
+	Kind   Kind
+	Shares []Share
+	// Objective is the time within which callers want their answers; 0 if the
+	// table names none.
+	Objective time.Duration
+	// Timeout is the time after which an answer is worth nothing; 0 if the table
+	// names none.
+	Timeout time.Duration
+}
+
+// Pick returns the service for draw, a number from 0 to 1 exclusive.
+func (r Route) Pick(draw float64) string {
+	total := 0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	at := draw * float64(total)
+	for _, s := range r.Shares {
+		at -= float64(s.Weight)
+		if at < 0 {
+			return s.Service
+		}
+	}
+	if len(r.Shares) == 0 {
+		return ""
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Allows reports whether r sends flows to service.
+func (r Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
+// Table is the whole routing table at one number.
+type Table struct {
+	number uint64
+	idle   time.Duration
+	routes map[Address]Route
+}
+
+// NewTable returns a table. Number is that of the operator's version, idle the
+// time after which a silent flow may be forgotten. Of two routes of one address
+// the later one holds.
+func NewTable(number uint64, idle time.Duration, routes []Route) Table {
+	t := Table{number: number, idle: idle, routes: make(map[Address]Route, len(routes))}
+	for _, r := range routes {
+		t.routes[r.At] = r
+	}
+	return t
+}
+
+// Number returns the version of the table, 0 before there is one.
+func (t Table) Number() uint64 {
+	return t.number
+}
+
+// Idle returns the time after which a silent flow may be forgotten.
+func (t Table) Idle() time.Duration {
+	return t.idle
+}
+
+// Size returns the number of routes.
+func (t Table) Size() int {
+	return len(t.routes)
+}
+
+// Lookup returns the route of an address.
+func (t Table) Lookup(a Address) (Route, bool) {
+	r, ok := t.routes[a]
+	return r, ok
+}
+
+// Routes returns all routes, sorted by name.
+func (t Table) Routes() []Route {
+	routes := make([]Route, 0, len(t.routes))
+	for _, r := range t.routes {
+		routes = append(routes, r)
+	}
+	slices.SortFunc(routes, func(a, b Route) int {
+		switch {
+		case a.Name < b.Name:
+			return -1
+		case a.Name > b.Name:
+			return 1
+		default:
+			return 0
+		}
+	})
+	return routes
+}
