Find dead targets by the flows that stall on them

Change: two flows stalled with no sign of life in between, while other targets answer, make a target dead. Then idempotent requests on it are reset so that callers repeat them, opening packets go to another target; an opening packet without an answer for 60 ms goes to a second target as well.

--- a/host/count.go
+++ b/host/count.go
@@ -23,7 +23,7 @@
 	placement.NoTarget:     "no_target",
 	placement.UnknownStamp: "unknown_stamp",
 	placement.Incomplete:   "incomplete",
-	placement.TargetDead:   "target_dead",
+	placement.DeadTarget:   "target_dead",
 	placement.Full:         "full",
 }
 
--- a/host/forward.go
+++ b/host/forward.go
@@ -20,6 +20,9 @@
 	socketBuffer = 1 << 20
 	// idleTick bounds the time for which the packet goroutine waits for a packet.
 	idleTick = 250 * time.Millisecond
+	// leastWait is the shortest wait for a packet. It lets packets that are there
+	// be handled before what is due.
+	leastWait = time.Millisecond
 	// flowMemory is the memory reckoned for one flow, in bytes.
 	flowMemory = 512
 	// flowShare is the part of the memory that the table of flows may take.
@@ -61,9 +64,9 @@
 	return nil
 }
 
-// step handles one datagram, or returns after idleTick.
+// step handles one datagram, or what is due when none comes.
 func (f *forwarder) step() error {
-	if err := f.h.conn.SetReadDeadline(time.Now().Add(idleTick)); err != nil {
+	if err := f.h.conn.SetReadDeadline(time.Now().Add(f.wait())); err != nil {
 		return err
 	}
 	n, _, err := f.h.conn.ReadFromUDPAddrPort(f.in[platform.PrefixSize:])
@@ -75,6 +78,8 @@
 	var timeout net.Error
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
+		f.core.Tick(now)
+		f.perform()
 		return nil
 	case errors.Is(err, net.ErrClosed):
 		return err
@@ -89,28 +94,51 @@
 		return nil
 	}
 	f.decide(now, p, n)
+	f.perform()
 	return nil
 }
 
+// wait returns how long to wait for a packet.
+func (f *forwarder) wait() time.Duration {
+	next, ok := f.core.Next()
+	if !ok {
+		return idleTick
+	}
+	return min(max(next-f.h.now(), leastWait), idleTick)
+}
+
+// perform carries out what has become due.
+func (f *forwarder) perform() {
+	for _, e := range f.core.Effects() {
+		switch e := e.(type) {
+		case placement.Resend:
+			n := copy(f.in[platform.PrefixSize:], e.Datagram)
+			f.send(e.To, n, e.Open)
+		case placement.Reset:
+			f.h.count.rejected(e.Reason)
+			f.resetFlow(packet.Packet{Flow: e.Flow, Acked: e.Acked})
+		}
+	}
+}
+
 // decide carries out the decision on one packet of n bytes.
 func (f *forwarder) decide(now time.Duration, p packet.Packet, n int) {
-	switch d := f.core.Handle(now, p).(type) {
+	switch d := f.core.Handle(now, p, f.in[platform.PrefixSize:platform.PrefixSize+n]).(type) {
 	case placement.Forward:
-		f.send(p, d.To, n)
+		f.send(d.To, n, p.Open())
 	case placement.Reject:
 		f.h.count.rejected(d.Reason)
-		f.reset = platform.AppendReset(f.reset[:0], p)
-		caller := netip.AddrPortFrom(p.Flow.Caller().Addr(), f.h.cfg.Boot.Packets.Port())
-		f.write(f.reset, caller)
+		f.resetFlow(p)
 	case placement.Drop:
 		f.h.count.dropped(d.Reason)
 	}
 }
 
-func (f *forwarder) send(p packet.Packet, t *placement.Target, n int) {
+// send sends the packet of n bytes that is in the buffer to a target.
+func (f *forwarder) send(t *placement.Target, n int, open bool) {
 	b := f.in[:platform.PrefixSize+n]
 	platform.PutPrefix(b, t.Number)
-	if p.Open() {
+	if open {
 		platform.PutStamp(b[platform.PrefixSize:], t.Stamp)
 		f.h.count.opened.Inc()
 	}
@@ -118,6 +146,12 @@
 	f.write(b, t.At)
 }
 
+// resetFlow ends the flow of p towards its caller.
+func (f *forwarder) resetFlow(p packet.Packet) {
+	f.reset = platform.AppendReset(f.reset[:0], p)
+	f.write(f.reset, netip.AddrPortFrom(p.Flow.Caller().Addr(), f.h.cfg.Boot.Packets.Port()))
+}
+
 func (f *forwarder) write(b []byte, to netip.AddrPort) {
 	if _, err := f.h.conn.WriteToUDPAddrPort(b, to); err != nil {
 		f.h.count.writeErrors.Inc()
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -1,13 +1,23 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"wisteriaweir/route"
+)
 
 const (
 	// repeatAfter is the least time after which a caller sends again what was not
-	// acknowledged; sooner repetitions say nothing of the target.
+	// acknowledged; sooner repetitions are packets that overtook each other.
 	repeatAfter = 150 * time.Millisecond
-	// suspectFor is how long a target gets no new flows after one stalled on it.
+	// suspectFor is how long a target gets no new flows after a flow stalled on it.
 	suspectFor = time.Second
+	// deadStalls is the number of flows that have to stall on a target, with no
+	// sign of life in between, before it counts as dead.
+	deadStalls = 2
+	// aliveWithin is how recently another target has to have answered for a verdict:
+	// else the fault is more likely on this host's side.
+	aliveWithin = 250 * time.Millisecond
 )
 
 // evidence is what flows show of a target's health.
@@ -16,8 +26,12 @@
 	progressAt time.Duration
 	// suspectUntil is when new flows may go to the target again.
 	suspectUntil time.Duration
-	// stalled counts flows that got nothing back since progressAt.
+	// stalled counts flows that got nothing back for what was sent after
+	// progressAt. Each sign of life starts a new round.
 	stalled int
+	round   uint32
+	// dead is the verdict that the target answers nobody.
+	dead bool
 }
 
 // suspect reports whether new flows stay away from the target.
@@ -27,21 +41,18 @@
 
 // progressed notes that the target of f has answered.
 func (c *Core) progressed(now time.Duration, f *flow) {
-	f.target.progressAt = now
-	if f.stalled {
-		f.stalled = false
-		f.target.stalled--
+	t := f.target
+	c.progressAt = now
+	t.progressAt = now
+	if t.stalled > 0 {
+		t.stalled = 0
+		t.round++
+	}
+	t.suspectUntil = 0
+	if t.dead {
+		t.dead = false
+		c.notify(TargetAlive, t)
 	}
-}
-
-// openingRepeated notes that a caller got no answer to its opening packet.
-func (c *Core) openingRepeated(now time.Duration, f *flow) {
-	c.stall(now, f)
-}
-
-// dataRepeated notes that a caller sent data again.
-func (c *Core) dataRepeated(now time.Duration, f *flow) {
-	c.stall(now, f)
 }
 
 // stall notes that a flow got nothing back for what was forwarded, unless it
@@ -51,12 +62,52 @@
 	if now-f.sent < repeatAfter || t.progressAt > f.sent {
 		return
 	}
-	if !f.stalled {
-		f.stalled = true
+	if f.stalledIn != t.round+1 {
+		f.stalledIn = t.round + 1
 		t.stalled++
 	}
+	c.doubt(now, t)
+	if !t.dead && c.isDead(now, t) {
+		t.dead = true
+		c.notify(TargetDead, t)
+		c.abandon(now, t)
+	}
+}
+
+// doubt keeps new flows away from a target for a while.
+func (c *Core) doubt(now time.Duration, t *Target) {
 	if !t.suspect(now) {
 		c.notify(TargetSuspect, t)
 	}
 	t.suspectUntil = now + suspectFor
 }
+
+// isDead decides whether a target answers nobody. One flow is enough for a
+// target that has left the catalog.
+func (c *Core) isDead(now time.Duration, t *Target) bool {
+	if now-c.progressAt > aliveWithin {
+		return false
+	}
+	return t.stalled >= deadStalls || t.gone && t.stalled > 0
+}
+
+// abandon frees the flows that wait for a dead target: those that are opening go
+// to another target, idempotent requests in progress are reset so that their
+// callers repeat them at once.
+func (c *Core) abandon(now time.Duration, t *Target) {
+	for _, f := range c.flows {
+		switch {
+		case f.target != t:
+		case !f.answered:
+			c.reopen(now, f)
+		case f.busy && f.kind == route.Safe:
+			c.reset(f)
+		}
+	}
+}
+
+// reset ends an open flow whose target is dead.
+func (c *Core) reset(f *flow) {
+	c.emit(Reset{Flow: f.key, Acked: f.acked, Reason: DeadTarget, Target: f.target})
+	c.drop(f)
+}
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -35,8 +35,9 @@
 	// busy says that a request is in progress since asked.
 	busy  bool
 	asked time.Duration
-	// stalled says that the flow counts among the stalled ones of its target.
-	stalled bool
+	// stalledIn is 1 above the round of its target's evidence in which the flow
+	// counts as stalled.
+	stalledIn uint32
 	// end is the end of the data seen from the caller, acked what it has got.
 	end   uint32
 	acked uint32
@@ -45,30 +46,39 @@
 	last   time.Duration
 	opened time.Duration
 	closed bool
+	// dropped says that the flow is forgotten.
+	dropped bool
+
+	// While the flow is opening: the service it goes to, the opening packet, the
+	// number of targets that got it, and when its answer is overdue.
+	service  string
+	datagram []byte
+	targets  int
+	awaited  time.Duration
 }
 
-// remember adds a flow that has just been placed.
-func (c *Core) remember(now time.Duration, p packet.Packet, t *Target, kind route.Kind) {
-	c.flows[p.Flow] = &flow{
-		key:    p.Flow,
-		target: t,
-		kind:   kind,
-		seq:    p.Seq,
-		end:    p.Seq,
-		opened: now,
-		sent:   now,
-		last:   now,
+// open adds a flow that has just been placed.
+func (c *Core) open(now time.Duration, p packet.Packet, t *Target, kind route.Kind) *flow {
+	f := &flow{
+		key:     p.Flow,
+		target:  t,
+		kind:    kind,
+		seq:     p.Seq,
+		end:     p.Seq,
+		opened:  now,
+		sent:    now,
+		last:    now,
+		targets: 1,
 	}
+	c.flows[p.Flow] = f
 	t.opening++
 	t.open++
+	return f
 }
 
 // adopt adds a flow that another balancer, or an earlier life of this one, has
 // placed. It returns nil if there is no room.
-func (c *Core) adopt(now time.Duration, p packet.Packet, t *Target, old *flow) *flow {
-	if old != nil {
-		c.drop(old)
-	}
+func (c *Core) adopt(now time.Duration, p packet.Packet, t *Target) *flow {
 	if len(c.flows) >= c.cfg.MaxFlows {
 		return nil
 	}
@@ -91,16 +101,27 @@
 	return f
 }
 
+// move takes a flow from its target to another one.
+func (c *Core) move(f *flow, t *Target) {
+	c.settle(f)
+	f.target.open--
+	t.open++
+	if !f.answered {
+		f.target.opening--
+		t.opening++
+	}
+	f.target = t
+	f.stalledIn = 0
+}
+
 // drop forgets a flow and takes it out of the counts of its target.
 func (c *Core) drop(f *flow) {
 	c.settle(f)
 	if !f.answered {
 		f.target.opening--
 	}
-	if f.stalled {
-		f.target.stalled--
-	}
 	f.target.open--
+	f.dropped = true
 	delete(c.flows, f.key)
 }
 
@@ -118,6 +139,7 @@
 	progress := false
 	if !f.answered {
 		f.answered = true
+		f.datagram = nil
 		f.target.opening--
 		f.acked = p.Acked
 		progress = true
@@ -143,7 +165,7 @@
 // repetition of what the target has not acknowledged.
 func (c *Core) followData(now time.Duration, f *flow, p packet.Packet) {
 	if !packet.After(p.End(), f.end) {
-		c.dataRepeated(now, f)
+		c.stall(now, f)
 		return
 	}
 	f.end = p.End()
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -10,6 +10,8 @@
 	TargetDraining Event = "target draining"
 	TargetCollides Event = "target stamp collides"
 	TargetSuspect  Event = "target suspect"
+	TargetDead     Event = "target dead"
+	TargetAlive    Event = "target alive"
 )
 
 // Notice is one change of what is believed of a target.
--- /dev/null
+++ b/placement/opening.go
@@ -0,0 +1,63 @@
+package placement
+
+import "time"
+
+const (
+	// reopenAfter is the time without an answer after which an opening packet goes
+	// to another target as well. An answer takes two ways to the caller and one
+	// between failure domains.
+	reopenAfter = 60 * time.Millisecond
+	// reopenMost bounds the targets that one opening packet is sent to.
+	reopenMost = 3
+)
+
+// waiting is an opening packet whose answer may be overdue at a time.
+type waiting struct {
+	f  *flow
+	at time.Duration
+}
+
+// await puts a flow into the queue of those whose answer is awaited.
+func (c *Core) await(now time.Duration, f *flow) {
+	f.awaited = now + reopenAfter
+	c.openings = append(c.openings, waiting{f: f, at: f.awaited})
+}
+
+// Next returns when Tick has something to do, and whether there is such a time.
+func (c *Core) Next() (time.Duration, bool) {
+	if len(c.openings) == 0 {
+		return 0, false
+	}
+	return c.openings[0].at, true
+}
+
+// Tick sends opening packets that are overdue to other targets. It must be
+// called when no packet waits to be handled: an answer may be among them.
+func (c *Core) Tick(now time.Duration) {
+	n := 0
+	for ; n < len(c.openings) && c.openings[n].at <= now; n++ {
+		f := c.openings[n].f
+		if f.answered || f.dropped || f.awaited != c.openings[n].at {
+			continue
+		}
+		c.doubt(now, f.target)
+		c.reopen(now, f)
+	}
+	c.openings = append(c.openings[:0], c.openings[n:]...)
+}
+
+// reopen sends the opening packet of f to another target, if there is one.
+func (c *Core) reopen(now time.Duration, f *flow) {
+	if f.targets >= reopenMost {
+		return
+	}
+	t := c.choose(now, f.service, f.target)
+	if t == nil || t == f.target {
+		return
+	}
+	c.move(f, t)
+	f.targets++
+	f.sent = now
+	c.await(now, f)
+	c.emit(Resend{To: t, Open: true, Datagram: f.datagram})
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -66,8 +66,8 @@
 	UnknownStamp
 	// Incomplete: routes or targets are not known yet.
 	Incomplete
-	// TargetDead: the target of the open flow is dead.
-	TargetDead
+	// DeadTarget: the target of the open flow is dead.
+	DeadTarget
 	// Full: the table of flows is full.
 	Full
 )
@@ -94,7 +94,12 @@
 	byStamp map[uint32]*Target
 	pools   map[string][]*Target
 	flows   map[packet.Flow]*flow
-	swept   time.Duration
+	// openings are the flows whose first answer is awaited, the oldest in front.
+	openings []waiting
+	due      []Effect
+	// progressAt is when any target last answered.
+	progressAt time.Duration
+	swept      time.Duration
 }
 
 // New returns a core that knows nothing yet.
@@ -109,8 +114,9 @@
 	}
 }
 
-// Handle decides on one packet.
-func (c *Core) Handle(now time.Duration, p packet.Packet) Decision {
+// Handle decides on one packet. The datagram that holds it is only read, and
+// copied where it is kept.
+func (c *Core) Handle(now time.Duration, p packet.Packet, datagram []byte) Decision {
 	if !c.catalog.Complete() {
 		return Drop{Reason: Incomplete}
 	}
@@ -118,34 +124,55 @@
 		c.sweep(now)
 	}
 	if p.Open() {
-		return c.handleOpen(now, p)
+		return c.handleOpen(now, p, datagram)
 	}
 	return c.handleData(now, p)
 }
 
 // handleOpen places a new flow, or the copy of an opening packet.
-func (c *Core) handleOpen(now time.Duration, p packet.Packet) Decision {
+func (c *Core) handleOpen(now time.Duration, p packet.Packet, datagram []byte) Decision {
 	r, ok := c.catalog.Routes().Lookup(route.Address{IP: p.Flow.ServiceIP, Port: p.Flow.ServicePort})
 	if !ok {
 		return Reject{Reason: NoRoute}
 	}
 	f := c.flows[p.Flow]
-	var avoid *Target
 	if f != nil && f.seq == p.Seq && p.Copies > 0 {
-		c.openingRepeated(now, f)
-		avoid = f.target
-	}
-	t := c.choose(now, r.Pick(c.rnd.Float64()), avoid)
-	if t == nil {
-		return Reject{Reason: NoTarget}
+		return c.handleCopy(now, f, r)
 	}
 	if f != nil {
 		c.drop(f)
 	}
+	service := r.Pick(c.rnd.Float64())
+	t := c.choose(now, service, nil)
+	if t == nil {
+		return Reject{Reason: NoTarget}
+	}
 	if len(c.flows) >= c.cfg.MaxFlows {
 		return Reject{Reason: Full}
 	}
-	c.remember(now, p, t, r.Kind)
+	f = c.open(now, p, t, r.Kind)
+	f.service = service
+	f.datagram = append([]byte(nil), datagram...)
+	c.await(now, f)
+	return Forward{To: t}
+}
+
+// handleCopy sends the copy of an opening packet to another target if the one
+// that has it did not answer.
+func (c *Core) handleCopy(now time.Duration, f *flow, r route.Route) Decision {
+	c.stall(now, f)
+	if !r.Allows(f.service) {
+		f.service = r.Pick(c.rnd.Float64())
+	}
+	t := c.choose(now, f.service, f.target)
+	if t == nil {
+		c.drop(f)
+		return Reject{Reason: NoTarget}
+	}
+	c.move(f, t)
+	f.sent = now
+	f.targets = 1
+	c.await(now, f)
 	return Forward{To: t}
 }
 
@@ -156,12 +183,22 @@
 		return Drop{Reason: UnknownStamp}
 	}
 	f := c.flows[p.Flow]
-	if f == nil || f.target != t {
-		f = c.adopt(now, p, t, f)
+	if f == nil {
+		f = c.adopt(now, p, t)
 	}
 	if f == nil {
 		return Forward{To: t}
 	}
+	if f.target != t {
+		c.move(f, t)
+	}
 	c.follow(now, f, p)
+	if t.dead && p.Size > 0 && f.kind == route.Safe && !f.dropped {
+		c.drop(f)
+		return Reject{Reason: DeadTarget}
+	}
+	if f.dropped {
+		return Drop{Reason: DeadTarget}
+	}
 	return Forward{To: t}
 }
--- a/placement/target.go
+++ b/placement/target.go
@@ -75,7 +75,7 @@
 		t.warmUntil = now + ct.Warmup
 	}
 	if ct.Born != t.Born {
-		t.evidence = evidence{stalled: t.stalled}
+		t.evidence = evidence{round: t.round + 1}
 	}
 	if ct.Draining && !t.Draining {
 		t.drainingAt = now
