Let two hosts read the store and tell the others

Change: package reader chooses readers by rendezvous hashing (two of the fleet, or of each failure domain above 12 hosts); they beat every 300 ms and tell changes as they come; who hears no reader, or only ones that lost the store, steps in. Hosts find each other as objects of their own kind. A collection runs sooner, as memory is dear.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
@@ -37,7 +38,12 @@
 	}
 }
 
+// heapGrowth is how far the heap may grow between two collections, in percent of
+// what is live. Hosts are small and a collection is cheap.
+const heapGrowth = 25
+
 func runHost(ctx context.Context, cmd *cli.Command) error {
+	debug.SetGCPercent(heapGrowth)
 	boot, err := platform.ReadBoot(cmd.String("settings"))
 	if err != nil {
 		return err
--- /dev/null
+++ b/host/control.go
@@ -0,0 +1,226 @@
+package host
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+
+	"wisteriaweir/catalog"
+	"wisteriaweir/platform"
+	"wisteriaweir/reader"
+)
+
+const (
+	// controlTick is the time between two looks at what is due.
+	controlTick = 100 * time.Millisecond
+	// dutyStep is the time between two looks at whether this host has to read.
+	dutyStep = 50 * time.Millisecond
+	// noteQueue is the number of datagrams from other hosts that may wait.
+	noteQueue = 256
+	// settleAtFirst is how long a host that starts with all the others waits
+	// before it lists them.
+	settleAtFirst = 1200 * time.Millisecond
+)
+
+// heard is a note from another host.
+type heard struct {
+	from reader.Member
+	note reader.Note
+}
+
+// control owns what is believed of the outside and of the other hosts.
+type control struct {
+	h       *Host
+	core    *reader.Core
+	encoder *reader.Encoder
+	conn    *net.UDPConn
+}
+
+// listenNotes opens the socket on which the other hosts are heard.
+func (h *Host) listenNotes() (*net.UDPConn, reader.Member, error) {
+	at := netip.AddrPortFrom(h.cfg.Boot.IP, uint16(h.cfg.Boot.FirstPort))
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, reader.Member{}, &StartError{Part: "notes", Address: at.String(), Err: err}
+	}
+	return conn, reader.Member{Name: h.cfg.Boot.Name, Domain: h.cfg.Boot.Domain, At: at}, nil
+}
+
+// believe owns the catalog: it takes in what the store and the other hosts say,
+// and publishes it.
+func (h *Host) believe(ctx context.Context) error {
+	conn, self, err := h.listenNotes()
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	c := &control{
+		h:       h,
+		core:    reader.New(reader.Config{Self: self, Seed: h.cfg.Seed}),
+		encoder: reader.NewEncoder(self, uint64(h.started.UnixNano())),
+		conn:    conn,
+	}
+	notes := make(chan heard, noteQueue)
+	members := make(chan []reader.Member)
+	go h.hear(ctx, conn, notes)
+	go h.findMembers(ctx, self, members)
+	first := !h.cfg.Boot.FirstStart
+	go (&feed{h: h, kind: platform.KindConfig, pause: routesPause}).run(ctx, first)
+	go (&feed{h: h, kind: platform.KindTargets, pause: targetsPause}).run(ctx, first)
+	return c.run(ctx, notes, members)
+}
+
+func (c *control) run(ctx context.Context, notes <-chan heard, members <-chan []reader.Member) error {
+	tick := time.NewTicker(controlTick)
+	defer tick.Stop()
+	known := false
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case n := <-notes:
+			c.perform(c.core.Hear(c.h.now(), n.from, n.note))
+		case n := <-c.h.findings:
+			c.perform(c.core.Found(c.h.now(), n))
+		case m := <-members:
+			known = true
+			c.perform(c.core.SetMembers(c.h.now(), m))
+		case <-tick.C:
+			if known {
+				c.perform(c.core.Tick(c.h.now()))
+			}
+		}
+		if c.core.Reading() != c.h.reading.Load() {
+			c.h.reading.Store(c.core.Reading())
+			c.h.log.WithField("reading", c.core.Reading()).Info("host: duty to read the store changed")
+		}
+	}
+}
+
+// perform carries out what the core wants.
+func (c *control) perform(effects []reader.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case reader.Tell:
+			c.tell(e)
+		case reader.Publish:
+			c.publish(e.Catalog)
+		}
+	}
+}
+
+func (c *control) tell(t reader.Tell) {
+	datagrams, err := c.encoder.Encode(t.Note)
+	if err != nil {
+		c.h.log.WithError(err).Error("host: note not encoded")
+		return
+	}
+	for _, b := range datagrams {
+		c.h.count.noteBytes.Add(len(b))
+		if _, err := c.conn.WriteToUDPAddrPort(b, t.To.At); err != nil {
+			c.h.count.noteErrors.Inc()
+		}
+	}
+}
+
+// publish makes a catalog what the packets follow.
+func (c *control) publish(cat catalog.Catalog) {
+	old := c.h.current.Load()
+	if cat.Routes().Number() != old.Routes().Number() {
+		c.h.log.WithFields(log.Fields{
+			"number": cat.Routes().Number(), "before": old.Routes().Number(), "revision": cat.RoutesRevision(),
+			"routes": cat.Routes().Size(),
+		}).Info("host: routes in force")
+	}
+	c.h.current.Store(&cat)
+}
+
+// hear reads datagrams from the other hosts until ctx ends.
+func (h *Host) hear(ctx context.Context, conn *net.UDPConn, out chan<- heard) {
+	decoder := reader.NewDecoder()
+	b := make([]byte, reader.MaxNote+1)
+	for ctx.Err() == nil {
+		n, _, err := conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if ctx.Err() == nil {
+				h.count.noteErrors.Inc()
+			}
+			continue
+		}
+		from, note, err := decoder.Decode(b[:n])
+		if err != nil {
+			h.count.noteMalformed.Inc()
+			continue
+		}
+		if note == nil || from.Name == h.cfg.Boot.Name {
+			continue
+		}
+		select {
+		case out <- heard{from: from, note: note}:
+		default:
+			h.count.noteDropped.Inc()
+		}
+	}
+}
+
+// findMembers announces this host in the store and lists the others.
+func (h *Host) findMembers(ctx context.Context, self reader.Member, out chan<- []reader.Member) {
+	if h.cfg.Boot.FirstStart {
+		h.try(ctx, "announce", func() error { return h.announce(ctx, self) })
+		sleep(ctx, settleAtFirst)
+	}
+	var members []reader.Member
+	h.try(ctx, "members", func() error {
+		var err error
+		members, err = h.listMembers(ctx)
+		return err
+	})
+	select {
+	case out <- members:
+	case <-ctx.Done():
+	}
+	for _, m := range members {
+		if m == self {
+			return
+		}
+	}
+	h.try(ctx, "announce", func() error { return h.announce(ctx, self) })
+}
+
+// try repeats a call to the store until it succeeds.
+func (h *Host) try(ctx context.Context, what string, call func() error) {
+	for failures := 1; ctx.Err() == nil; failures++ {
+		err := call()
+		if err == nil {
+			return
+		}
+		if failures == 1 {
+			h.log.WithError(err).WithField("for", what).Warn("host: store failed")
+		}
+		sleep(ctx, backoff(failures))
+	}
+}
+
+func (h *Host) announce(ctx context.Context, self reader.Member) error {
+	return h.store.Set(ctx, platform.KindHosts, self.Name, platform.HostSpec{Address: self.At.String(), Domain: self.Domain})
+}
+
+func (h *Host) listMembers(ctx context.Context) ([]reader.Member, error) {
+	records, _, err := h.store.List(ctx, platform.KindHosts)
+	if err != nil {
+		return nil, err
+	}
+	var members []reader.Member
+	for _, r := range records {
+		spec, at, err := platform.ParseHost(r)
+		if err != nil {
+			h.log.WithError(err).Warn("host: entry of a host not used")
+			continue
+		}
+		members = append(members, reader.Member{Name: r.Name, Domain: spec.Domain, At: at})
+	}
+	return members, nil
+}
--- a/host/count.go
+++ b/host/count.go
@@ -14,6 +14,8 @@
 	set                                *metrics.Set
 	forwarded, opened, malformed       *metrics.Counter
 	readErrors, writeErrors            *metrics.Counter
+	noteBytes, noteErrors              *metrics.Counter
+	noteMalformed, noteDropped         *metrics.Counter
 	rejectedByReason, droppedForReason map[placement.Reason]*metrics.Counter
 }
 
@@ -35,6 +37,10 @@
 		malformed:        set.NewCounter("wisteriaweir_packets_malformed_total"),
 		readErrors:       set.NewCounter(`wisteriaweir_packet_errors_total{op="read"}`),
 		writeErrors:      set.NewCounter(`wisteriaweir_packet_errors_total{op="write"}`),
+		noteBytes:        set.NewCounter("wisteriaweir_note_bytes_sent_total"),
+		noteErrors:       set.NewCounter("wisteriaweir_note_errors_total"),
+		noteMalformed:    set.NewCounter("wisteriaweir_notes_malformed_total"),
+		noteDropped:      set.NewCounter("wisteriaweir_notes_dropped_total"),
 		rejectedByReason: map[placement.Reason]*metrics.Counter{},
 		droppedForReason: map[placement.Reason]*metrics.Counter{},
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -26,6 +26,7 @@
 
 	"wisteriaweir/catalog"
 	"wisteriaweir/platform"
+	"wisteriaweir/reader"
 )
 
 // Config says how a Host runs.
@@ -49,6 +50,10 @@
 	metrics *metrics.Set
 	count   *counters
 
+	// findings are what the store answered, for the control goroutine.
+	findings chan reader.Content
+	// reading says that this host has the duty to read the store.
+	reading  atomic.Bool
 	current  atomic.Pointer[catalog.Catalog]
 	leaving  atomic.Bool
 	lastSeen atomic.Int64
@@ -62,12 +67,13 @@
 	}
 	set := metrics.NewSet()
 	h := &Host{
-		cfg:     cfg,
-		log:     cfg.Log,
-		started: time.Now(),
-		conn:    conn,
-		metrics: set,
-		count:   newCounters(set),
+		cfg:      cfg,
+		log:      cfg.Log,
+		started:  time.Now(),
+		conn:     conn,
+		metrics:  set,
+		count:    newCounters(set),
+		findings: make(chan reader.Content),
 	}
 	h.store = platform.NewStore(platform.StoreConfig{Address: cfg.Boot.Store, Observe: h.count.call})
 	h.current.Store(&catalog.Catalog{})
--- /dev/null
+++ b/host/reading.go
@@ -0,0 +1,178 @@
+package host
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"wisteriaweir/catalog"
+	"wisteriaweir/platform"
+	"wisteriaweir/reader"
+)
+
+const (
+	// watchWait is how long the store may hold a watch. A change that the watch
+	// missed is found this much later.
+	watchWait = 1500 * time.Millisecond
+	// routesPause and targetsPause are the waits after a watch that brought
+	// changes: what follows within them costs no call of its own.
+	routesPause  = 300 * time.Millisecond
+	targetsPause = 600 * time.Millisecond
+	// retryFirst and retryMost bound the wait after a failed call to the store.
+	retryFirst = 50 * time.Millisecond
+	retryMost  = 800 * time.Millisecond
+)
+
+// feed reads one kind of the store's objects.
+type feed struct {
+	h    *Host
+	kind string
+	// pause is the wait after changes.
+	pause time.Duration
+	// revision is the revision to watch from, 0 if a list is needed.
+	revision uint64
+	failures int
+}
+
+// run lists the kind once if first is set, and then lists and watches it while
+// this host has the duty to read.
+func (f *feed) run(ctx context.Context, first bool) {
+	for ctx.Err() == nil {
+		if !first && !f.h.reading.Load() {
+			f.revision = 0
+			sleep(ctx, dutyStep)
+			continue
+		}
+		n, err := f.next(ctx)
+		if err != nil {
+			f.failed(ctx, err)
+			continue
+		}
+		f.failures = 0
+		first = false
+		select {
+		case f.h.findings <- n:
+		case <-ctx.Done():
+		}
+		if len(n.Changes) > 0 || n.Routes != nil {
+			sleep(ctx, f.pause)
+		}
+	}
+}
+
+// failed waits before the next call. A history that is gone needs no wait.
+func (f *feed) failed(ctx context.Context, err error) {
+	if platform.Gone(err) {
+		f.h.log.WithField("kind", f.kind).Info("host: store dropped its history, listing again")
+		f.revision = 0
+		return
+	}
+	f.failures++
+	if f.failures == 1 && ctx.Err() == nil {
+		f.h.log.WithError(err).WithField("kind", f.kind).Warn("host: store lost")
+	}
+	sleep(ctx, backoff(f.failures))
+}
+
+// backoff returns the wait after a number of failed calls.
+func backoff(failures int) time.Duration {
+	d := min(retryFirst<<min(failures-1, 10), retryMost)
+	return d/2 + rand.N(d/2)
+}
+
+// sleep waits for a time or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// next makes one call and returns what it found.
+func (f *feed) next(ctx context.Context) (reader.Content, error) {
+	if f.revision == 0 {
+		return f.list(ctx)
+	}
+	return f.watch(ctx)
+}
+
+// list reads the kind as a whole.
+func (f *feed) list(ctx context.Context) (reader.Content, error) {
+	records, revision, err := f.h.store.List(ctx, f.kind)
+	if err != nil {
+		return reader.Content{}, err
+	}
+	f.revision = revision
+	n := reader.Content{Revision: revision}
+	if f.kind == platform.KindConfig {
+		for _, r := range records {
+			f.takeRoutes(r, &n)
+		}
+		return n, nil
+	}
+	n.Full = true
+	for _, r := range records {
+		t, err := platform.ParseTarget(r)
+		if err != nil {
+			f.h.log.WithError(err).Warn("host: entry not used")
+			continue
+		}
+		n.Targets = append(n.Targets, t)
+	}
+	return n, nil
+}
+
+// watch waits for changes of the kind.
+func (f *feed) watch(ctx context.Context) (reader.Content, error) {
+	events, next, err := f.h.store.Watch(ctx, f.kind, f.revision, watchWait)
+	if err != nil {
+		return reader.Content{}, err
+	}
+	f.revision = max(next, f.revision)
+	n := reader.Content{Revision: next}
+	newest := map[string]platform.Event{}
+	for _, e := range events {
+		newest[e.Record.Name] = e
+	}
+	for _, e := range newest {
+		if f.kind == platform.KindConfig {
+			f.takeRoutes(e.Record, &n)
+			continue
+		}
+		n.Changes = append(n.Changes, f.change(e))
+	}
+	return n, nil
+}
+
+// change reads the change of one target. An entry that names no target to use
+// counts as removed.
+func (f *feed) change(e platform.Event) catalog.Change {
+	gone := catalog.Change{Target: catalog.Target{ID: e.Record.Name, Revision: e.Record.Revision}, Removed: true}
+	if e.Removed {
+		return gone
+	}
+	t, err := platform.ParseTarget(e.Record)
+	if err != nil {
+		f.h.log.WithError(err).Warn("host: entry not used")
+		return gone
+	}
+	return catalog.Change{Target: t}
+}
+
+// takeRoutes reads the routing table, if r holds it.
+func (f *feed) takeRoutes(r platform.Record, n *reader.Content) {
+	if r.Name != platform.ConfigName {
+		return
+	}
+	t, left, err := platform.ParseConfig(r)
+	if err != nil {
+		f.h.log.WithError(err).Warn("host: configuration not used")
+		return
+	}
+	for _, err := range left {
+		f.h.log.WithError(err).Warn("host: route not used")
+	}
+	n.Routes = &t
+}
--- /dev/null
+++ b/reader/codec.go
@@ -0,0 +1,314 @@
+package reader
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"wisteriaweir/catalog"
+	"wisteriaweir/reader/readerpb"
+	"wisteriaweir/route"
+)
+
+const (
+	// partSize is the most content in one datagram, in bytes.
+	partSize = 1100
+	// MaxNote is the largest datagram between hosts, in bytes.
+	MaxNote = 1400
+	// maxParts bounds the datagrams of one content.
+	maxParts = 4096
+)
+
+// NoteError says why a datagram is no note.
+type NoteError struct {
+	Reason string
+}
+
+func (e *NoteError) Error() string {
+	return "reader: note: " + e.Reason
+}
+
+// Encoder turns notes into datagrams.
+type Encoder struct {
+	self Member
+	next uint64
+}
+
+// NewEncoder returns an encoder for the notes of self. First is the number of
+// its first content; it must differ between two lives of a host.
+func NewEncoder(self Member, first uint64) *Encoder {
+	return &Encoder{self: self, next: first}
+}
+
+// Encode returns the datagrams of a note.
+func (e *Encoder) Encode(n Note) ([][]byte, error) {
+	switch n := n.(type) {
+	case Hello:
+		return e.single(&readerpb.Note{Body: &readerpb.Note_Hello{Hello: &readerpb.Hello{}}})
+	case Beat:
+		return e.single(&readerpb.Note{Body: &readerpb.Note_Beat{Beat: &readerpb.Beat{
+			Routes: n.Routes, Targets: n.Targets, Reading: n.Reading, AgeMs: milliseconds(n.Age),
+		}}})
+	case Ask:
+		return e.single(&readerpb.Note{Body: &readerpb.Note_Ask{Ask: &readerpb.Ask{Routes: n.Routes, Targets: n.Targets}}})
+	case Load:
+		l := &readerpb.Load{Dead: n.Dead}
+		for stamp, busy := range n.Busy {
+			l.Stamps = append(l.Stamps, stamp)
+			l.Busy = append(l.Busy, uint32(busy))
+		}
+		return e.single(&readerpb.Note{Body: &readerpb.Note_Load{Load: l}})
+	case Content:
+		return e.parts(n)
+	default:
+		return nil, &NoteError{Reason: fmt.Sprintf("kind %T", n)}
+	}
+}
+
+// single frames a note that fits one datagram.
+func (e *Encoder) single(n *readerpb.Note) ([][]byte, error) {
+	n.Host, n.Domain = e.self.Name, e.self.Domain
+	n.Ip, n.Port = ipNumber(e.self.At.Addr()), uint32(e.self.At.Port())
+	b, err := proto.Marshal(n)
+	if err != nil {
+		return nil, err
+	}
+	return [][]byte{b}, nil
+}
+
+// parts cuts a content into datagrams.
+func (e *Encoder) parts(n Content) ([][]byte, error) {
+	content, err := proto.Marshal(contentMessage(n))
+	if err != nil {
+		return nil, err
+	}
+	e.next++
+	count := (len(content) + partSize - 1) / partSize
+	var datagrams [][]byte
+	for i := range count {
+		part := content[i*partSize : min((i+1)*partSize, len(content))]
+		b, err := e.single(&readerpb.Note{Body: &readerpb.Note_Part{Part: &readerpb.Part{
+			Id: e.next, Index: uint32(i), Count: uint32(count), Data: part,
+		}}})
+		if err != nil {
+			return nil, err
+		}
+		datagrams = append(datagrams, b...)
+	}
+	return datagrams, nil
+}
+
+// Decoder turns datagrams into notes. It joins the parts of a content; of each
+// host just the newest unfinished content is kept.
+type Decoder struct {
+	joins map[string]*join
+}
+
+// join is a content of which parts are missing.
+type join struct {
+	id      uint64
+	missing int
+	parts   [][]byte
+}
+
+// NewDecoder returns a decoder.
+func NewDecoder() *Decoder {
+	return &Decoder{joins: map[string]*join{}}
+}
+
+// Decode returns the host that a datagram comes from and its note, nil while
+// parts of a content are missing. The error is a *NoteError.
+func (d *Decoder) Decode(b []byte) (Member, Note, error) {
+	var m readerpb.Note
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return Member{}, nil, &NoteError{Reason: err.Error()}
+	}
+	from := Member{Name: m.Host, Domain: m.Domain, At: endpoint(m.Ip, m.Port)}
+	if from.Name == "" || m.Ip == 0 || m.Port == 0 || m.Port > 65535 {
+		return Member{}, nil, &NoteError{Reason: "names no host"}
+	}
+	switch body := m.Body.(type) {
+	case *readerpb.Note_Hello:
+		return from, Hello{}, nil
+	case *readerpb.Note_Beat:
+		w := body.Beat
+		return from, Beat{Routes: w.Routes, Targets: w.Targets, Reading: w.Reading, Age: duration(w.AgeMs)}, nil
+	case *readerpb.Note_Ask:
+		return from, Ask{Routes: body.Ask.Routes, Targets: body.Ask.Targets}, nil
+	case *readerpb.Note_Load:
+		n, err := loadNote(body.Load)
+		return from, n, err
+	case *readerpb.Note_Part:
+		n, err := d.join(from, body.Part)
+		return from, n, err
+	default:
+		return from, nil, &NoteError{Reason: "of no known kind"}
+	}
+}
+
+func loadNote(w *readerpb.Load) (Note, error) {
+	if len(w.Stamps) != len(w.Busy) {
+		return nil, &NoteError{Reason: "load of unequal lists"}
+	}
+	n := Load{Busy: make(map[uint32]int, len(w.Stamps)), Dead: w.Dead}
+	for i, stamp := range w.Stamps {
+		n.Busy[stamp] = int(w.Busy[i])
+	}
+	return n, nil
+}
+
+// join adds a part and returns the content once it is whole.
+func (d *Decoder) join(from Member, p *readerpb.Part) (Note, error) {
+	if p.Count == 0 || p.Count > maxParts || p.Index >= p.Count {
+		return nil, &NoteError{Reason: fmt.Sprintf("part %d of %d", p.Index, p.Count)}
+	}
+	j := d.joins[from.Name]
+	if j == nil || j.id != p.Id || len(j.parts) != int(p.Count) {
+		if j != nil && p.Id < j.id {
+			return nil, nil
+		}
+		j = &join{id: p.Id, missing: int(p.Count), parts: make([][]byte, p.Count)}
+		d.joins[from.Name] = j
+	}
+	if j.parts[p.Index] == nil {
+		j.parts[p.Index] = p.Data
+		j.missing--
+	}
+	if j.missing > 0 {
+		return nil, nil
+	}
+	delete(d.joins, from.Name)
+	var content []byte
+	for _, part := range j.parts {
+		content = append(content, part...)
+	}
+	var m readerpb.Content
+	if err := proto.Unmarshal(content, &m); err != nil {
+		return nil, &NoteError{Reason: err.Error()}
+	}
+	return contentNote(&m), nil
+}
+
+func contentMessage(n Content) *readerpb.Content {
+	m := &readerpb.Content{Revision: n.Revision, Full: n.Full, From: n.From}
+	switch {
+	case n.Routes != nil:
+		m.Table = tableMessage(n.Routes.Number(), n.Routes.Idle(), n.Routes.Routes())
+	case n.RouteChanges != nil:
+		ch := n.RouteChanges
+		m.Table = tableMessage(ch.Number, ch.Idle, ch.Set)
+		m.Table.Delta = true
+		for _, a := range ch.Removed {
+			m.Table.Removed = append(m.Table.Removed, &readerpb.Address{Ip: a.IP, Port: uint32(a.Port)})
+		}
+	}
+	for _, t := range n.Targets {
+		m.Targets = append(m.Targets, targetMessage(t))
+	}
+	for _, ch := range n.Changes {
+		if ch.Removed {
+			m.Removed = append(m.Removed, ch.Target.ID)
+			continue
+		}
+		m.Targets = append(m.Targets, targetMessage(ch.Target))
+	}
+	return m
+}
+
+func contentNote(m *readerpb.Content) Content {
+	n := Content{Revision: m.Revision, Full: m.Full, From: m.From}
+	if m.Table != nil {
+		return tableNote(n, m.Table)
+	}
+	for _, w := range m.Targets {
+		t := target(w)
+		if n.Full {
+			n.Targets = append(n.Targets, t)
+			continue
+		}
+		n.Changes = append(n.Changes, catalog.Change{Target: t})
+	}
+	for _, id := range m.Removed {
+		// A removal is newer than any entry that it follows.
+		n.Changes = append(n.Changes, catalog.Change{Target: catalog.Target{ID: id, Revision: m.Revision}, Removed: true})
+	}
+	return n
+}
+
+func tableMessage(number uint64, idle time.Duration, routes []route.Route) *readerpb.Table {
+	m := &readerpb.Table{Number: number, IdleMs: milliseconds(idle)}
+	for _, r := range routes {
+		w := &readerpb.Route{
+			Name: r.Name, Ip: r.At.IP, Port: uint32(r.At.Port), Kind: string(r.Kind),
+			ObjectiveMs: milliseconds(r.Objective), TimeoutMs: milliseconds(r.Timeout),
+		}
+		for _, s := range r.Shares {
+			w.Shares = append(w.Shares, &readerpb.Share{Service: s.Service, Weight: uint32(s.Weight)})
+		}
+		m.Routes = append(m.Routes, w)
+	}
+	return m
+}
+
+// tableNote adds a routing table, or changes of one, to n.
+func tableNote(n Content, m *readerpb.Table) Content {
+	routes := make([]route.Route, 0, len(m.Routes))
+	for _, w := range m.Routes {
+		r := route.Route{
+			Name: w.Name, At: route.Address{IP: w.Ip, Port: uint16(w.Port)}, Kind: route.Kind(w.Kind),
+			Objective: duration(w.ObjectiveMs), Timeout: duration(w.TimeoutMs),
+		}
+		for _, s := range w.Shares {
+			r.Shares = append(r.Shares, route.Share{Service: s.Service, Weight: int(s.Weight)})
+		}
+		routes = append(routes, r)
+	}
+	if !m.Delta {
+		t := route.NewTable(m.Number, duration(m.IdleMs), routes)
+		n.Routes = &t
+		return n
+	}
+	ch := &route.Changes{Number: m.Number, Idle: duration(m.IdleMs), Set: routes}
+	for _, a := range m.Removed {
+		ch.Removed = append(ch.Removed, route.Address{IP: a.Ip, Port: uint16(a.Port)})
+	}
+	n.RouteChanges = ch
+	return n
+}
+
+func targetMessage(t catalog.Target) *readerpb.Target {
+	return &readerpb.Target{
+		Id: t.ID, Number: t.Number, Service: t.Service, Ip: ipNumber(t.At.Addr()), Port: uint32(t.At.Port()),
+		Domain: t.Domain, Slots: uint32(t.Slots), Draining: t.Draining, WarmupMs: milliseconds(t.Warmup),
+		Born: t.Born, Revision: t.Revision,
+	}
+}
+
+func target(m *readerpb.Target) catalog.Target {
+	return catalog.Target{
+		ID: m.Id, Number: m.Number, Service: m.Service, At: endpoint(m.Ip, m.Port), Domain: m.Domain,
+		Slots: max(int(m.Slots), 1), Draining: m.Draining, Warmup: duration(m.WarmupMs), Born: m.Born, Revision: m.Revision,
+	}
+}
+
+func ipNumber(a netip.Addr) uint32 {
+	b := a.As4()
+	return binary.BigEndian.Uint32(b[:])
+}
+
+func endpoint(ip, port uint32) netip.AddrPort {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], ip)
+	return netip.AddrPortFrom(netip.AddrFrom4(b), uint16(port))
+}
+
+func milliseconds(d time.Duration) uint32 {
+	return uint32(max(d, 0) / time.Millisecond)
+}
+
+func duration(ms uint32) time.Duration {
+	return time.Duration(ms) * time.Millisecond
+}
--- /dev/null
+++ b/reader/reader.go
@@ -0,0 +1,221 @@
+// Package reader decides which hosts read the platform's store, and spreads
+// what they find to the others.
+//
+// # Usage
+//
+//	c := reader.New(reader.Config{Self: self, Seed: 1})
+//	c.SetMembers(now, members)
+//	for _, e := range c.Tick(now) {
+//		switch e := e.(type) {
+//		case reader.Tell:
+//			// send e.Note to e.To
+//		case reader.Publish:
+//			// e.Catalog is what is believed now
+//		}
+//	}
+//	if c.Reading() {
+//		// list and watch the store, and pass what it answers to Found
+//	}
+//
+// A few hosts of a group, chosen by rendezvous hashing, read the store and beat;
+// the others listen, ask for what they lack, and step in when the beats cease or
+// the beats say that the store is out of reach. Readers write nothing, so two of
+// them at once do no harm. Revisions of the store number what is believed, and
+// every host only moves forward in them.
+//
+// A Core has no input or output, no clock and no goroutine. It is not safe for
+// concurrent use.
+package reader
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"wisteriaweir/catalog"
+)
+
+const (
+	// beatEvery is the time between two beats of a reader.
+	beatEvery = 300 * time.Millisecond
+	// readersWanted is the number of readers of a group.
+	readersWanted = 2
+	// smallFleet is the largest fleet that is one group; in a larger one each
+	// failure domain is a group.
+	smallFleet = 12
+)
+
+// Config configures a Core.
+type Config struct {
+	Self Member
+	// Seed seeds the jitter.
+	Seed uint64
+}
+
+// Effect is something to be done: Tell or Publish.
+type Effect interface {
+	effect()
+}
+
+// Tell sends a note to a host.
+type Tell struct {
+	To   Member
+	Note Note
+}
+
+// Publish makes a catalog what is believed.
+type Publish struct {
+	Catalog catalog.Catalog
+}
+
+func (Tell) effect()    {}
+func (Publish) effect() {}
+
+// peer is what is known of another host.
+type peer struct {
+	Member
+	beat    Beat
+	heardAt time.Duration
+	heard   bool
+}
+
+// Core is the state of one host.
+type Core struct {
+	cfg     Config
+	rnd     *rand.Rand
+	peers   map[string]*peer
+	catalog catalog.Catalog
+	effects []Effect
+
+	// reading says that this host reads the store, storeAt when the store last
+	// answered it, answered whether it ever did.
+	reading  bool
+	storeAt  time.Duration
+	answered bool
+	// shortSince and spareSince are the times since when readers are too few, or
+	// more than are needed without this host; 0 if they are not.
+	shortSince time.Duration
+	spareSince time.Duration
+	beatAt     time.Duration
+	askAt      time.Duration
+}
+
+// New returns a core that knows only its own host.
+func New(cfg Config) *Core {
+	return &Core{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 1)), peers: map[string]*peer{}}
+}
+
+// Reading reports whether this host has to read the store.
+func (c *Core) Reading() bool {
+	return c.reading
+}
+
+// Catalog returns what is believed.
+func (c *Core) Catalog() catalog.Catalog {
+	return c.catalog
+}
+
+// SetMembers takes in the list of hosts and greets those that are new.
+func (c *Core) SetMembers(now time.Duration, members []Member) []Effect {
+	for _, m := range members {
+		if m.Name == c.cfg.Self.Name {
+			continue
+		}
+		if p := c.peers[m.Name]; p == nil || p.At != m.At {
+			c.peers[m.Name] = &peer{Member: m, heardAt: now}
+			c.tell(m, Hello{})
+		}
+	}
+	return c.take()
+}
+
+// Tick does what is due at a time.
+func (c *Core) Tick(now time.Duration) []Effect {
+	c.decide(now)
+	if c.reading && now-c.beatAt >= beatEvery {
+		c.beatAt = now
+		c.tellGroup(c.beat(now))
+	}
+	return c.take()
+}
+
+// Hear takes in a note.
+func (c *Core) Hear(now time.Duration, from Member, n Note) []Effect {
+	p := c.meet(now, from)
+	switch n := n.(type) {
+	case Hello:
+		c.tell(from, c.beat(now))
+	case Beat:
+		p.beat, p.heardAt, p.heard = n, now, true
+		c.askIfBehind(now, p)
+	case Ask:
+		c.answer(from, n)
+	case Content:
+		c.learn(now, p, n)
+	case Load:
+		// The targets' load is for package placement.
+	}
+	return c.take()
+}
+
+// Found takes in what the store answered: content, or nothing new.
+func (c *Core) Found(now time.Duration, n Content) []Effect {
+	c.storeAt, c.answered = now, true
+	if n.Routes == nil && !n.Full && len(n.Changes) == 0 {
+		return nil
+	}
+	before := c.catalog
+	n.From = before.TargetsRevision()
+	if c.apply(n) && c.reading {
+		c.tellGroup(shorten(before, n))
+	}
+	return c.take()
+}
+
+// shorten turns a routing table into the changes that lead to it, if there was
+// one before.
+func shorten(before catalog.Catalog, n Content) Content {
+	if n.Routes == nil || before.RoutesRevision() == 0 {
+		return n
+	}
+	ch := before.Routes().Diff(*n.Routes)
+	return Content{Revision: n.Revision, From: before.RoutesRevision(), RouteChanges: &ch}
+}
+
+// meet returns the peer that a note came from.
+func (c *Core) meet(now time.Duration, m Member) *peer {
+	p := c.peers[m.Name]
+	if p == nil || p.At != m.At {
+		p = &peer{Member: m, heardAt: now}
+		c.peers[m.Name] = p
+	}
+	return p
+}
+
+// beat returns what this host says of itself.
+func (c *Core) beat(now time.Duration) Beat {
+	b := Beat{Routes: c.catalog.RoutesRevision(), Targets: c.catalog.TargetsRevision(), Reading: c.reading}
+	if c.answered {
+		b.Age = now - c.storeAt
+	} else {
+		b.Age = now + staleReader
+	}
+	return b
+}
+
+func (c *Core) tell(to Member, n Note) {
+	c.effects = append(c.effects, Tell{To: to, Note: n})
+}
+
+func (c *Core) tellGroup(n Note) {
+	for _, m := range c.group() {
+		if m.Name != c.cfg.Self.Name {
+			c.tell(m, n)
+		}
+	}
+}
+
+func (c *Core) take() []Effect {
+	effects := c.effects
+	c.effects = nil
+	return effects
+}
--- /dev/null
+++ b/reader/spread.go
@@ -0,0 +1,80 @@
+package reader
+
+import (
+	"time"
+
+	"wisteriaweir/catalog"
+)
+
+// askEvery is the least time between two asks. A change is told right before
+// the beat that names its revision, so most gaps close by themselves.
+const askEvery = 120 * time.Millisecond
+
+// askIfBehind asks a peer for what it has and this host has not.
+func (c *Core) askIfBehind(now time.Duration, p *peer) {
+	if p.beat.Routes <= c.catalog.RoutesRevision() && p.beat.Targets <= c.catalog.TargetsRevision() {
+		return
+	}
+	if c.askAt != 0 && now-c.askAt < askEvery {
+		return
+	}
+	c.askAt = now
+	c.tell(p.Member, Ask{Routes: c.catalog.RoutesRevision(), Targets: c.catalog.TargetsRevision()})
+}
+
+// answer tells a host what it lacks.
+func (c *Core) answer(to Member, a Ask) {
+	if c.catalog.RoutesRevision() > a.Routes {
+		table := c.catalog.Routes()
+		c.tell(to, Content{Revision: c.catalog.RoutesRevision(), Routes: &table})
+	}
+	if c.catalog.TargetsRevision() > a.Targets {
+		all := make([]catalog.Target, 0, len(c.catalog.Targets()))
+		for _, t := range c.catalog.Targets() {
+			all = append(all, t)
+		}
+		c.tell(to, Content{Revision: c.catalog.TargetsRevision(), Full: true, Targets: all})
+	}
+}
+
+// learn takes in content from a peer.
+func (c *Core) learn(now time.Duration, p *peer, n Content) {
+	if c.gap(n) {
+		c.askAt = now
+		c.tell(p.Member, Ask{Routes: c.catalog.RoutesRevision(), Targets: c.catalog.TargetsRevision()})
+		return
+	}
+	c.apply(n)
+}
+
+// gap reports whether changes start behind what this host has.
+func (c *Core) gap(n Content) bool {
+	switch {
+	case n.Routes != nil, n.Full:
+		return false
+	case n.RouteChanges != nil:
+		return n.From > c.catalog.RoutesRevision()
+	default:
+		return n.From > c.catalog.TargetsRevision()
+	}
+}
+
+// apply moves the catalog forward and reports whether it did.
+func (c *Core) apply(n Content) bool {
+	old := c.catalog
+	switch {
+	case n.Routes != nil:
+		c.catalog = c.catalog.WithRoutes(*n.Routes, n.Revision)
+	case n.RouteChanges != nil:
+		c.catalog = c.catalog.WithRoutes(c.catalog.Routes().WithChanges(*n.RouteChanges), n.Revision)
+	case n.Full:
+		c.catalog = c.catalog.WithTargets(n.Targets, n.Revision)
+	default:
+		c.catalog = c.catalog.WithChanges(n.Changes, n.Revision)
+	}
+	moved := old.RoutesRevision() != c.catalog.RoutesRevision() || old.TargetsRevision() != c.catalog.TargetsRevision()
+	if moved {
+		c.effects = append(c.effects, Publish{Catalog: c.catalog})
+	}
+	return moved
+}
--- a/route/route.go
+++ b/route/route.go
@@ -11,6 +11,7 @@
 package route
 
 import (
+	"maps"
 	"slices"
 	"time"
 )
@@ -135,3 +136,48 @@
 	})
 	return routes
 }
+
+// Changes lead from one table to a later one.
+type Changes struct {
+	// Number and Idle are those of the later table.
+	Number  uint64
+	Idle    time.Duration
+	Set     []Route
+	Removed []Address
+}
+
+// Diff returns the changes that lead from t to a later table.
+func (t Table) Diff(later Table) Changes {
+	ch := Changes{Number: later.number, Idle: later.idle}
+	for _, r := range later.Routes() {
+		if old, ok := t.routes[r.At]; !ok || !old.equal(r) {
+			ch.Set = append(ch.Set, r)
+		}
+	}
+	for a := range t.routes {
+		if _, ok := later.routes[a]; !ok {
+			ch.Removed = append(ch.Removed, a)
+		}
+	}
+	return ch
+}
+
+// WithChanges returns the table that changes of t lead to.
+func (t Table) WithChanges(ch Changes) Table {
+	routes := maps.Clone(t.routes)
+	if routes == nil {
+		routes = map[Address]Route{}
+	}
+	for _, r := range ch.Set {
+		routes[r.At] = r
+	}
+	for _, a := range ch.Removed {
+		delete(routes, a)
+	}
+	return Table{number: ch.Number, idle: ch.Idle, routes: routes}
+}
+
+func (r Route) equal(o Route) bool {
+	return r.Name == o.Name && r.At == o.At && r.Kind == o.Kind && r.Objective == o.Objective &&
+		r.Timeout == o.Timeout && slices.Equal(r.Shares, o.Shares)
+}
