Tell neighbours the load, and let requests wait for full targets

Change: hosts of a failure domain tell each other requests in progress and queued for each target every 25 to 200 ms; both count in the choice. A request for a target with four for each slot waits here and goes when there are less than two, timely ones first, those of flows known only since the start last in first out, late ones last; 400 or 900 ms at most. Answers of one packet are not acknowledged, so a request counts for two mean times and its place in the queue.

--- a/host/control.go
+++ b/host/control.go
@@ -82,7 +82,9 @@
 		case <-ctx.Done():
 			return nil
 		case n := <-notes:
-			c.perform(c.core.Hear(c.h.now(), n.from, n.note))
+			c.hear(n)
+		case l := <-c.h.loads:
+			c.tellDomain(reader.Load{Load: l})
 		case n := <-c.h.findings:
 			c.perform(c.core.Found(c.h.now(), n))
 		case m := <-members:
@@ -93,6 +95,7 @@
 				c.perform(c.core.Tick(c.h.now()))
 			}
 		}
+		c.h.domainPeers.Store(int32(len(c.core.Neighbours())))
 		if c.core.Reading() != c.h.reading.Load() {
 			c.h.reading.Store(c.core.Reading())
 			c.h.log.WithField("reading", c.core.Reading()).Info("host: duty to read the store changed")
@@ -100,6 +103,27 @@
 	}
 }
 
+// hear takes in a note; what concerns the packets goes on to their goroutine.
+func (c *control) hear(n heard) {
+	l, ok := n.note.(reader.Load)
+	if !ok {
+		c.perform(c.core.Hear(c.h.now(), n.from, n.note))
+		return
+	}
+	select {
+	case c.h.neighbours <- neighbourLoad{name: n.from.Name, load: l.Load}:
+	default:
+		c.h.count.noteDropped.Inc()
+	}
+}
+
+// tellDomain tells a note to the other hosts of the failure domain.
+func (c *control) tellDomain(n reader.Note) {
+	for _, m := range c.core.Neighbours() {
+		c.tell(reader.Tell{To: m, Note: n})
+	}
+}
+
 // perform carries out what the core wants.
 func (c *control) perform(effects []reader.Effect) {
 	for _, e := range effects {
--- a/host/count.go
+++ b/host/count.go
@@ -27,6 +27,7 @@
 	placement.Incomplete:   "incomplete",
 	placement.DeadTarget:   "target_dead",
 	placement.Full:         "full",
+	placement.Repeated:     "repeated",
 }
 
 func newCounters(set *metrics.Set) *counters {
--- a/host/forward.go
+++ b/host/forward.go
@@ -23,6 +23,10 @@
 	// leastWait is the shortest wait for a packet. It lets packets that are there
 	// be handled before what is due.
 	leastWait = time.Millisecond
+	// loadFirst and loadEach make up the time between two words on the load: the
+	// more neighbours, the longer.
+	loadFirst = 15 * time.Millisecond
+	loadEach  = 10 * time.Millisecond
 	// flowMemory is the memory reckoned for one flow, in bytes.
 	flowMemory = 512
 	// flowShare is the part of the memory that the table of flows may take.
@@ -38,6 +42,9 @@
 	reset []byte
 	// seen is the catalog that the core has.
 	seen *catalog.Catalog
+	// toldAt is when the load was last handed on, toldEmpty whether it was nothing.
+	toldAt    time.Duration
+	toldEmpty bool
 }
 
 // forward reads packets and sends them on until ctx ends.
@@ -57,13 +64,49 @@
 		in: make([]byte, platform.PrefixSize+platform.MaxPacket+1),
 	}
 	for ctx.Err() == nil {
+		f.hearNeighbours()
 		if err := f.step(); err != nil {
 			return err
 		}
+		f.tellLoad()
 	}
 	return nil
 }
 
+// hearNeighbours takes in what the other hosts of the failure domain see.
+func (f *forwarder) hearNeighbours() {
+	for {
+		select {
+		case n := <-f.h.neighbours:
+			f.core.SetNeighbour(f.h.now(), n.name, n.load)
+			f.perform()
+		default:
+			return
+		}
+	}
+}
+
+// tellLoad hands on what this host sees of the targets, as long as there is
+// something to see.
+func (f *forwarder) tellLoad() {
+	peers := int(f.h.domainPeers.Load())
+	now := f.h.now()
+	if peers == 0 || now-f.toldAt < loadFirst+time.Duration(peers)*loadEach {
+		return
+	}
+	l := f.core.Load()
+	empty := len(l.Targets) == 0 && len(l.Dead) == 0
+	if empty && f.toldEmpty {
+		return
+	}
+	select {
+	case f.h.loads <- l:
+		f.toldAt, f.toldEmpty = now, empty
+	default:
+		f.h.count.noteDropped.Inc()
+	}
+}
+
 // step handles one datagram, or what is due when none comes.
 func (f *forwarder) step() error {
 	if err := f.h.conn.SetReadDeadline(time.Now().Add(f.wait())); err != nil {
--- a/host/host.go
+++ b/host/host.go
@@ -25,6 +25,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"wisteriaweir/catalog"
+	"wisteriaweir/placement"
 	"wisteriaweir/platform"
 	"wisteriaweir/reader"
 )
@@ -52,6 +53,11 @@
 
 	// findings are what the store answered, for the control goroutine.
 	findings chan reader.Content
+	// loads are what this host's flows show, neighbours what those of the others
+	// of the failure domain do; domainPeers counts these others.
+	loads       chan placement.Load
+	neighbours  chan neighbourLoad
+	domainPeers atomic.Int32
 	// reading says that this host has the duty to read the store.
 	reading  atomic.Bool
 	current  atomic.Pointer[catalog.Catalog]
@@ -59,6 +65,15 @@
 	lastSeen atomic.Int64
 }
 
+// neighbourQueue is the number of words of neighbours that may wait.
+const neighbourQueue = 64
+
+// neighbourLoad is the word of another host of the failure domain.
+type neighbourLoad struct {
+	name string
+	load placement.Load
+}
+
 // New opens the sockets of a host.
 func New(cfg Config) (*Host, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Boot.Packets))
@@ -74,6 +89,9 @@
 		metrics:  set,
 		count:    newCounters(set),
 		findings: make(chan reader.Content),
+
+		loads:      make(chan placement.Load, 1),
+		neighbours: make(chan neighbourLoad, neighbourQueue),
 	}
 	h.store = platform.NewStore(platform.StoreConfig{Address: cfg.Boot.Store, Observe: h.count.call})
 	h.current.Store(&catalog.Catalog{})
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -50,7 +50,7 @@
 		return -1
 	case t.Draining:
 		return 3
-	case t.suspect(now):
+	case t.suspect(now) || t.deadElsewhere:
 		return 2
 	case t == avoid:
 		return 1
@@ -61,7 +61,7 @@
 
 // cost is the load of a target as this balancer sees it.
 func (c *Core) cost(now time.Duration, t *Target) float64 {
-	load := float64(t.busy) + costOpening*float64(t.opening) + costOpen*float64(t.open)
+	load := float64(t.load()+t.waiting.size()+t.others.Queued) + costOpening*float64(t.opening) + costOpen*float64(t.open)
 	cost := load * 2 / float64(t.Slots)
 	if t.Domain != c.cfg.Domain {
 		cost += costDomain
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -83,12 +83,15 @@
 }
 
 // isDead decides whether a target answers nobody. One flow is enough for a
-// target that has left the catalog.
+// target that has left the catalog, or that a neighbour has found dead.
 func (c *Core) isDead(now time.Duration, t *Target) bool {
 	if now-c.progressAt > aliveWithin {
 		return false
 	}
-	return t.stalled >= deadStalls || t.gone && t.stalled > 0
+	if t.gone || t.deadElsewhere {
+		return t.stalled > 0
+	}
+	return t.stalled >= deadStalls
 }
 
 // abandon frees the flows that wait for a dead target: those that are opening go
@@ -100,7 +103,7 @@
 		case f.target != t:
 		case !f.answered:
 			c.reopen(now, f)
-		case f.busy && f.kind == route.Safe:
+		case (f.busy || f.held != nil) && f.kind == route.Safe:
 			c.reset(f)
 		}
 	}
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -10,9 +10,6 @@
 const (
 	// sweepEvery is the time between two searches for flows that have gone quiet.
 	sweepEvery = 200 * time.Millisecond
-	// busyLimit is the time after which a request without an answer no longer
-	// counts as load.
-	busyLimit = 2 * time.Second
 	// closedLinger is how long a flow is remembered after its caller ended it.
 	closedLinger = time.Second
 	// defaultIdle is the time after which a quiet flow is forgotten if the routing
@@ -48,6 +45,9 @@
 	closed bool
 	// dropped says that the flow is forgotten.
 	dropped bool
+	// held is the request that waits for the target, urgency that of the next one.
+	held    *held
+	urgency urgency
 
 	// While the flow is opening: the service it goes to, the opening packet, the
 	// number of targets that got it, and when its answer is overdue.
@@ -70,6 +70,9 @@
 		last:    now,
 		targets: 1,
 	}
+	if p.Copies > 0 {
+		f.urgency = late
+	}
 	c.flows[p.Flow] = f
 	t.opening++
 	t.open++
@@ -93,6 +96,9 @@
 		sent:     now,
 		last:     now,
 	}
+	if now-c.readyAt < returnSpan {
+		f.urgency = unknown
+	}
 	if r, ok := c.catalog.Routes().Lookup(route.Address{IP: p.Flow.ServiceIP, Port: p.Flow.ServicePort}); ok {
 		f.kind = r.Kind
 	}
@@ -104,6 +110,7 @@
 // move takes a flow from its target to another one.
 func (c *Core) move(f *flow, t *Target) {
 	c.settle(f)
+	f.held = nil
 	f.target.open--
 	t.open++
 	if !f.answered {
@@ -121,18 +128,11 @@
 		f.target.opening--
 	}
 	f.target.open--
+	f.held = nil
 	f.dropped = true
 	delete(c.flows, f.key)
 }
 
-// settle ends the request that is in progress.
-func (c *Core) settle(f *flow) {
-	if f.busy {
-		f.busy = false
-		f.target.busy--
-	}
-}
-
 // follow takes in one packet of an open flow.
 func (c *Core) follow(now time.Duration, f *flow, p packet.Packet) {
 	f.last = now
@@ -146,34 +146,19 @@
 	}
 	if packet.After(p.Acked, f.acked) {
 		f.acked = p.Acked
-		c.settle(f)
+		f.urgency = timely
+		c.finish(now, f)
+		c.release(now, f.target)
 		progress = true
 	}
 	if progress {
 		c.progressed(now, f)
 	}
-	if p.Size > 0 {
-		c.followData(now, f, p)
-	}
 	if p.Flags&(packet.Fin|packet.Rst) != 0 {
 		f.closed = true
+		f.held = nil
 		c.settle(f)
-	}
-}
-
-// followData takes in data from the caller: a new request, more of one, or a
-// repetition of what the target has not acknowledged.
-func (c *Core) followData(now time.Duration, f *flow, p packet.Packet) {
-	if !packet.After(p.End(), f.end) {
-		c.stall(now, f)
-		return
-	}
-	f.end = p.End()
-	f.sent = now
-	if !f.busy {
-		f.busy = true
-		f.asked = now
-		f.target.busy++
+		c.release(now, f.target)
 	}
 }
 
@@ -186,12 +171,10 @@
 	}
 	for _, f := range c.flows {
 		quiet := now - f.last
-		switch {
-		case f.closed && quiet > closedLinger, quiet > idle, !f.answered && quiet > openingLimit:
+		if f.closed && quiet > closedLinger || quiet > idle || !f.answered && quiet > openingLimit {
 			c.drop(f)
-		case f.busy && now-f.asked > busyLimit:
-			c.settle(f)
 		}
 	}
 	c.forget(now)
+	c.addNeighbours(now)
 }
--- /dev/null
+++ b/placement/neighbour.go
@@ -0,0 +1,78 @@
+package placement
+
+import "time"
+
+// neighbourLife is the age above which the word of a neighbour no longer counts.
+const neighbourLife = 600 * time.Millisecond
+
+// Load is what the flows of one host show of the targets.
+type Load struct {
+	// Targets holds what is known by the stamp of the target.
+	Targets map[uint32]TargetLoad
+	// Dead holds the stamps of targets that answer nobody.
+	Dead []uint32
+}
+
+// TargetLoad is what one host adds to the load of a target.
+type TargetLoad struct {
+	// Busy counts the requests in progress.
+	Busy int
+	// Queued counts those that are about to come: flows that are opening, and
+	// requests that wait for the target.
+	Queued int
+}
+
+// neighbour is the last word of another host of the same failure domain.
+type neighbour struct {
+	load Load
+	at   time.Duration
+}
+
+// Load returns what this host's flows show.
+func (c *Core) Load() Load {
+	l := Load{Targets: map[uint32]TargetLoad{}}
+	for _, t := range c.targets {
+		if tl := (TargetLoad{Busy: t.busy, Queued: t.opening + t.waiting.size()}); tl != (TargetLoad{}) {
+			l.Targets[t.Stamp] = tl
+		}
+		if t.dead {
+			l.Dead = append(l.Dead, t.Stamp)
+		}
+	}
+	return l
+}
+
+// SetNeighbour takes in the word of another host.
+func (c *Core) SetNeighbour(now time.Duration, name string, l Load) {
+	c.neighbours[name] = neighbour{load: l, at: now}
+	c.addNeighbours(now)
+	for _, t := range c.targets {
+		if t.waiting.size() > 0 {
+			c.release(now, t)
+		}
+	}
+}
+
+// addNeighbours sums up what the neighbours said lately.
+func (c *Core) addNeighbours(now time.Duration) {
+	for _, t := range c.targets {
+		t.others, t.deadElsewhere = TargetLoad{}, false
+	}
+	for name, n := range c.neighbours {
+		if now-n.at > neighbourLife {
+			delete(c.neighbours, name)
+			continue
+		}
+		for stamp, tl := range n.load.Targets {
+			if t := c.byStamp[stamp]; t != nil {
+				t.others.Busy += tl.Busy
+				t.others.Queued += tl.Queued
+			}
+		}
+		for _, stamp := range n.load.Dead {
+			if t := c.byStamp[stamp]; t != nil {
+				t.deadElsewhere = true
+			}
+		}
+	}
+}
--- a/placement/opening.go
+++ b/placement/opening.go
@@ -25,15 +25,24 @@
 
 // Next returns when Tick has something to do, and whether there is such a time.
 func (c *Core) Next() (time.Duration, bool) {
-	if len(c.openings) == 0 {
-		return 0, false
+	at, ok := time.Duration(0), false
+	if len(c.openings) > 0 {
+		at, ok = c.openings[0].at, true
 	}
-	return c.openings[0].at, true
+	if len(c.holds) > 0 {
+		if due := c.expiredAt + expireEvery; !ok || due < at {
+			at, ok = due, true
+		}
+	}
+	return at, ok
 }
 
-// Tick sends opening packets that are overdue to other targets. It must be
-// called when no packet waits to be handled: an answer may be among them.
+// Tick sends opening packets that are overdue to other targets, and requests
+// that have waited for long enough. It must be called when no packet waits to be
+// handled: an answer may be among them.
 func (c *Core) Tick(now time.Duration) {
+	c.expire(now)
+	c.releaseOverdue(now)
 	n := 0
 	for ; n < len(c.openings) && c.openings[n].at <= now; n++ {
 		f := c.openings[n].f
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -29,7 +29,7 @@
 	"wisteriaweir/route"
 )
 
-// Decision says what to do with a packet: Forward, Reject or Drop.
+// Decision says what to do with a packet: Forward, Reject, Drop or Keep.
 type Decision interface {
 	decision()
 }
@@ -49,6 +49,10 @@
 	Reason Reason
 }
 
+// Keep leaves the packet to the core, which sends it later by an Effect.
+type Keep struct{}
+
+func (Keep) decision()    {}
 func (Forward) decision() {}
 func (Reject) decision()  {}
 func (Drop) decision()    {}
@@ -70,6 +74,8 @@
 	DeadTarget
 	// Full: the table of flows is full.
 	Full
+	// Repeated: the packet repeats one that the core keeps.
+	Repeated
 )
 
 // Config configures a Core.
@@ -96,7 +102,19 @@
 	flows   map[packet.Flow]*flow
 	// openings are the flows whose first answer is awaited, the oldest in front.
 	openings []waiting
-	due      []Effect
+	// holds are the requests that wait for their targets, the oldest in front.
+	holds []*held
+	due   []Effect
+	// requests are those in progress, the oldest in front, answerMean their mean
+	// time.
+	requests   []request
+	answerMean time.Duration
+	expiredAt  time.Duration
+	// neighbours are the other hosts of the failure domain by name.
+	neighbours map[string]neighbour
+	// readyAt is when flows could first be placed.
+	readyAt time.Duration
+	ready   bool
 	// progressAt is when any target last answered.
 	progressAt time.Duration
 	swept      time.Duration
@@ -111,6 +129,9 @@
 		byStamp: map[uint32]*Target{},
 		pools:   map[string][]*Target{},
 		flows:   map[packet.Flow]*flow{},
+
+		neighbours: map[string]neighbour{},
+		answerMean: answerFirst,
 	}
 }
 
@@ -123,10 +144,14 @@
 	if now-c.swept >= sweepEvery {
 		c.sweep(now)
 	}
+	if now-c.expiredAt >= expireEvery {
+		c.expire(now)
+		c.releaseOverdue(now)
+	}
 	if p.Open() {
 		return c.handleOpen(now, p, datagram)
 	}
-	return c.handleData(now, p)
+	return c.handleData(now, p, datagram)
 }
 
 // handleOpen places a new flow, or the copy of an opening packet.
@@ -177,7 +202,7 @@
 }
 
 // handleData finds the target of an open flow by the stamp.
-func (c *Core) handleData(now time.Duration, p packet.Packet) Decision {
+func (c *Core) handleData(now time.Duration, p packet.Packet, datagram []byte) Decision {
 	t := c.byStamp[p.Stamp]
 	if t == nil {
 		return Drop{Reason: UnknownStamp}
@@ -193,12 +218,40 @@
 		c.move(f, t)
 	}
 	c.follow(now, f, p)
-	if t.dead && p.Size > 0 && f.kind == route.Safe && !f.dropped {
+	if p.Size > 0 {
+		return c.handleRequest(now, f, p, datagram)
+	}
+	return Forward{To: t}
+}
+
+// handleRequest decides on data from the caller: a new request, more of one, or
+// a repetition of what the target has not acknowledged.
+func (c *Core) handleRequest(now time.Duration, f *flow, p packet.Packet, datagram []byte) Decision {
+	if f.target.dead && f.kind == route.Safe {
 		c.drop(f)
 		return Reject{Reason: DeadTarget}
 	}
-	if f.dropped {
-		return Drop{Reason: DeadTarget}
+	if !packet.After(p.End(), f.end) {
+		if f.held != nil {
+			return Drop{Reason: Repeated}
+		}
+		c.stall(now, f)
+		if f.dropped {
+			return Drop{Reason: DeadTarget}
+		}
+		return Forward{To: f.target}
+	}
+	f.end = p.End()
+	switch {
+	case f.held != nil:
+		f.held.holdMore(datagram)
+		return Keep{}
+	case !f.busy && c.mayWait(f):
+		c.hold(now, f, datagram)
+		return Keep{}
+	default:
+		f.sent = now
+		c.begin(now, f)
+		return Forward{To: f.target}
 	}
-	return Forward{To: t}
 }
--- a/placement/target.go
+++ b/placement/target.go
@@ -34,6 +34,11 @@
 	drainingAt time.Duration
 	// collides says that an older target has the same stamp.
 	collides bool
+	// others is the load that the neighbours add, deadElsewhere says that one of
+	// them has found the target dead.
+	others        TargetLoad
+	deadElsewhere bool
+	waiting       waitingRoom
 	evidence
 }
 
@@ -49,6 +54,9 @@
 // SetCatalog takes in what is believed of the outside.
 func (c *Core) SetCatalog(now time.Duration, cat catalog.Catalog) {
 	c.catalog = cat
+	if !c.ready && cat.Complete() {
+		c.ready, c.readyAt = true, now
+	}
 	for id, ct := range cat.Targets() {
 		c.setTarget(now, id, ct)
 	}
--- a/reader/codec.go
+++ b/reader/codec.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"wisteriaweir/catalog"
+	"wisteriaweir/placement"
 	"wisteriaweir/reader/readerpb"
 	"wisteriaweir/route"
 )
@@ -56,9 +57,10 @@
 		return e.single(&readerpb.Note{Body: &readerpb.Note_Ask{Ask: &readerpb.Ask{Routes: n.Routes, Targets: n.Targets}}})
 	case Load:
 		l := &readerpb.Load{Dead: n.Dead}
-		for stamp, busy := range n.Busy {
+		for stamp, tl := range n.Targets {
 			l.Stamps = append(l.Stamps, stamp)
-			l.Busy = append(l.Busy, uint32(busy))
+			l.Busy = append(l.Busy, uint32(tl.Busy))
+			l.Queued = append(l.Queued, uint32(tl.Queued))
 		}
 		return e.single(&readerpb.Note{Body: &readerpb.Note_Load{Load: l}})
 	case Content:
@@ -150,14 +152,14 @@
 }
 
 func loadNote(w *readerpb.Load) (Note, error) {
-	if len(w.Stamps) != len(w.Busy) {
+	if len(w.Stamps) != len(w.Busy) || len(w.Stamps) != len(w.Queued) {
 		return nil, &NoteError{Reason: "load of unequal lists"}
 	}
-	n := Load{Busy: make(map[uint32]int, len(w.Stamps)), Dead: w.Dead}
+	l := placement.Load{Targets: make(map[uint32]placement.TargetLoad, len(w.Stamps)), Dead: w.Dead}
 	for i, stamp := range w.Stamps {
-		n.Busy[stamp] = int(w.Busy[i])
+		l.Targets[stamp] = placement.TargetLoad{Busy: int(w.Busy[i]), Queued: int(w.Queued[i])}
 	}
-	return n, nil
+	return Load{Load: l}, nil
 }
 
 // join adds a part and returns the content once it is whole.
--- a/reader/duty.go
+++ b/reader/duty.go
@@ -127,6 +127,21 @@
 	return false
 }
 
+// Neighbours returns the other known hosts of this host's failure domain.
+func (c *Core) Neighbours() []Member {
+	return c.neighbours
+}
+
+// findNeighbours sets what Neighbours returns.
+func (c *Core) findNeighbours() {
+	c.neighbours = nil
+	for _, p := range c.peers {
+		if p.Domain == c.cfg.Self.Domain {
+			c.neighbours = append(c.neighbours, p.Member)
+		}
+	}
+}
+
 // Members returns the known hosts, this one included, sorted by name.
 func (c *Core) Members() []Member {
 	members := []Member{c.cfg.Self}
--- a/reader/note.go
+++ b/reader/note.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"wisteriaweir/catalog"
+	"wisteriaweir/placement"
 	"wisteriaweir/route"
 )
 
@@ -48,10 +49,7 @@
 
 // Load says what the sender's flows show of the targets.
 type Load struct {
-	// Busy holds the requests in progress by the stamp of the target.
-	Busy map[uint32]int
-	// Dead holds the stamps of targets that answer none of the sender's flows.
-	Dead []uint32
+	placement.Load
 }
 
 func (Hello) note()   {}
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -80,11 +80,13 @@
 
 // Core is the state of one host.
 type Core struct {
-	cfg     Config
-	rnd     *rand.Rand
-	peers   map[string]*peer
-	catalog catalog.Catalog
-	effects []Effect
+	cfg   Config
+	rnd   *rand.Rand
+	peers map[string]*peer
+	// neighbours are the peers of the same failure domain.
+	neighbours []Member
+	catalog    catalog.Catalog
+	effects    []Effect
 
 	// reading says that this host reads the store, storeAt when the store last
 	// answered it, answered whether it ever did.
@@ -125,6 +127,7 @@
 			c.tell(m, Hello{})
 		}
 	}
+	c.findNeighbours()
 	return c.take()
 }
 
@@ -187,6 +190,7 @@
 	if p == nil || p.At != m.At {
 		p = &peer{Member: m, heardAt: now}
 		c.peers[m.Name] = p
+		c.findNeighbours()
 	}
 	return p
 }
