Replay the loads that placement answers, from data files

Cause: the first replays showed two faults: a request whose share of the load had expired was not reset when its target died, and an opening packet that this host had seen twice counted as timely; effects also came in the order of a map. Change: a flow remembers that its caller waits (asking) apart from the load; copies are late; targets and flows are gone through in the order of their birth.

--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"wisteriaweir/route"
@@ -98,17 +100,28 @@
 // to another target, idempotent requests in progress are reset so that their
 // callers repeat them at once.
 func (c *Core) abandon(now time.Duration, t *Target) {
-	for _, f := range c.flows {
+	for _, f := range c.flowsOf(t) {
 		switch {
-		case f.target != t:
 		case !f.answered:
 			c.reopen(now, f)
-		case (f.busy || f.held != nil) && f.kind == route.Safe:
+		case (f.asking || f.held != nil) && f.kind == route.Safe:
 			c.reset(f)
 		}
 	}
 }
 
+// flowsOf returns the flows of a target, the oldest in front.
+func (c *Core) flowsOf(t *Target) []*flow {
+	var flows []*flow
+	for _, f := range c.flows {
+		if f.target == t {
+			flows = append(flows, f)
+		}
+	}
+	slices.SortFunc(flows, func(a, b *flow) int { return cmp.Compare(a.number, b.number) })
+	return flows
+}
+
 // reset ends an open flow whose target is dead.
 func (c *Core) reset(f *flow) {
 	c.emit(Reset{Flow: f.key, Acked: f.acked, Reason: DeadTarget, Target: f.target})
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -21,7 +21,9 @@
 
 // flow is what one balancer has seen of a flow.
 type flow struct {
-	key    packet.Flow
+	key packet.Flow
+	// number counts the flows of the core.
+	number uint64
 	target *Target
 	kind   route.Kind
 	// seq is the position of the opening packet.
@@ -29,9 +31,11 @@
 	// answered says that the target's answer to the opening packet has reached the
 	// caller.
 	answered bool
-	// busy says that a request is in progress since asked.
-	busy  bool
-	asked time.Duration
+	// asking says that the caller has got nothing since its last data, asked when
+	// that request began; busy says that it counts as load.
+	asking bool
+	asked  time.Duration
+	busy   bool
 	// stalledIn is 1 above the round of its target's evidence in which the flow
 	// counts as stalled.
 	stalledIn uint32
@@ -73,9 +77,8 @@
 	if p.Copies > 0 {
 		f.urgency = late
 	}
-	c.flows[p.Flow] = f
+	c.add(f)
 	t.opening++
-	t.open++
 	return f
 }
 
@@ -102,11 +105,18 @@
 	if r, ok := c.catalog.Routes().Lookup(route.Address{IP: p.Flow.ServiceIP, Port: p.Flow.ServicePort}); ok {
 		f.kind = r.Kind
 	}
-	c.flows[p.Flow] = f
-	t.open++
+	c.add(f)
 	return f
 }
 
+// add puts a flow into the table.
+func (c *Core) add(f *flow) {
+	c.numbered++
+	f.number = c.numbered
+	c.flows[f.key] = f
+	f.target.open++
+}
+
 // move takes a flow from its target to another one.
 func (c *Core) move(f *flow, t *Target) {
 	c.settle(f)
--- a/placement/neighbour.go
+++ b/placement/neighbour.go
@@ -31,7 +31,7 @@
 // Load returns what this host's flows show.
 func (c *Core) Load() Load {
 	l := Load{Targets: map[uint32]TargetLoad{}}
-	for _, t := range c.targets {
+	for _, t := range c.order {
 		if tl := (TargetLoad{Busy: t.busy, Queued: t.opening + t.waiting.size()}); tl != (TargetLoad{}) {
 			l.Targets[t.Stamp] = tl
 		}
@@ -46,7 +46,7 @@
 func (c *Core) SetNeighbour(now time.Duration, name string, l Load) {
 	c.neighbours[name] = neighbour{load: l, at: now}
 	c.addNeighbours(now)
-	for _, t := range c.targets {
+	for _, t := range c.order {
 		if t.waiting.size() > 0 {
 			c.release(now, t)
 		}
@@ -55,7 +55,7 @@
 
 // addNeighbours sums up what the neighbours said lately.
 func (c *Core) addNeighbours(now time.Duration) {
-	for _, t := range c.targets {
+	for _, t := range c.order {
 		t.others, t.deadElsewhere = TargetLoad{}, false
 	}
 	for name, n := range c.neighbours {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -97,9 +97,13 @@
 	rnd     *rand.Rand
 	catalog catalog.Catalog
 	targets map[string]*Target
+	// order holds the targets, those born first in front.
+	order   []*Target
 	byStamp map[uint32]*Target
 	pools   map[string][]*Target
 	flows   map[packet.Flow]*flow
+	// numbered is the number of the newest flow.
+	numbered uint64
 	// openings are the flows whose first answer is awaited, the oldest in front.
 	openings []waiting
 	// holds are the requests that wait for their targets, the oldest in front.
@@ -186,6 +190,7 @@
 // that has it did not answer.
 func (c *Core) handleCopy(now time.Duration, f *flow, r route.Route) Decision {
 	c.stall(now, f)
+	f.urgency = late
 	if !r.Allows(f.service) {
 		f.service = r.Pick(c.rnd.Float64())
 	}
--- a/placement/progress.go
+++ b/placement/progress.go
@@ -30,6 +30,7 @@
 
 // begin counts a request as in progress.
 func (c *Core) begin(now time.Duration, f *flow) {
+	f.asking = true
 	if f.busy {
 		return
 	}
@@ -48,6 +49,7 @@
 		took := now - f.asked
 		c.answerMean += time.Duration(answerShare * float64(took-c.answerMean))
 	}
+	f.asking = false
 	c.settle(f)
 }
 
--- /dev/null
+++ b/placement/property_test.go
@@ -0,0 +1,222 @@
+package placement_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"wisteriaweir/catalog"
+	"wisteriaweir/packet"
+	"wisteriaweir/placement"
+	"wisteriaweir/route"
+)
+
+// world is a core among callers that send anything, and what must hold.
+type world struct {
+	t      *rapid.T
+	core   *placement.Core
+	now    time.Duration
+	kind   route.Kind
+	live   map[string]catalog.Target
+	stamps map[uint32]string
+	opened map[packet.Flow]uint32
+}
+
+const (
+	worldIP   = 0xc6120001
+	worldPort = 443
+)
+
+// TestStampedPacketsReachTheirTarget holds that data goes to the target whose
+// stamp it carries or nowhere, that only idempotent requests are reset, and that
+// no flow opens on a target that is draining for long, gone or of another
+// service.
+func TestStampedPacketsReachTheirTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{
+			t: t, kind: rapid.SampledFrom([]route.Kind{route.Safe, route.Unsafe, route.Upload}).Draw(t, "kind"), live: map[string]catalog.Target{}, stamps: map[uint32]string{}, opened: map[packet.Flow]uint32{},
+			core: placement.New(placement.Config{Domain: "west-a", Seed: 3, MaxFlows: 40}),
+		}
+		w.setTargets(1)
+		for i := range rapid.IntRange(20, 150).Draw(t, "steps") {
+			w.now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				w.setTargets(i + 2)
+			case 1, 2, 3:
+				w.open()
+			case 4:
+				w.core.Tick(w.now)
+			case 5:
+				w.core.SetNeighbour(w.now, "n", w.core.Load())
+			default:
+				w.data()
+			}
+			w.effects()
+			w.check()
+		}
+	})
+}
+
+func (w *world) setTargets(revision int) {
+	var targets []catalog.Target
+	w.live = map[string]catalog.Target{}
+	for i := range 5 {
+		if !rapid.Bool().Draw(w.t, "there") {
+			continue
+		}
+		t := catalog.Target{
+			ID: fmt.Sprintf("i-%d", i), Number: uint64(i + 1), Service: rapid.SampledFrom([]string{"desk", "desk", "other"}).Draw(w.t, "service"),
+			Slots: 2, Domain: "west-a", Draining: rapid.IntRange(0, 3).Draw(w.t, "drain") == 0, Revision: uint64(revision),
+			At: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80),
+		}
+		targets = append(targets, t)
+		w.live[t.ID] = t
+		w.stamps[placement.StampOf(t.ID)] = t.ID
+	}
+	cat := catalog.Catalog{}.
+		WithRoutes(route.NewTable(1, 10*time.Second, []route.Route{{
+			At: route.Address{IP: worldIP, Port: worldPort}, Kind: w.kind, Shares: []route.Share{{Service: "desk", Weight: 1}},
+		}}), 1).
+		WithTargets(targets, uint64(revision))
+	w.core.SetCatalog(w.now, cat)
+}
+
+func (w *world) flow() packet.Flow {
+	port := uint16(rapid.IntRange(1, 60).Draw(w.t, "port"))
+	return packet.Flow{CallerIP: 0x64400001, CallerPort: port, ServiceIP: worldIP, ServicePort: worldPort}
+}
+
+func (w *world) open() {
+	f := w.flow()
+	p := packet.Packet{Flow: f, Flags: packet.Syn, Seq: 7, Copies: uint32(rapid.IntRange(0, 2).Draw(w.t, "copies"))}
+	switch d := w.core.Handle(w.now, p, []byte{1}).(type) {
+	case placement.Forward:
+		w.checkOpen(d.To)
+		w.opened[f] = d.To.Stamp
+	case placement.Reject:
+	default:
+		w.t.Fatalf("an opening packet: %T", d)
+	}
+}
+
+// checkOpen holds that a target may take a new flow.
+func (w *world) checkOpen(t *placement.Target) {
+	live, ok := w.live[t.ID]
+	if !ok || live.Service != "desk" {
+		w.t.Fatalf("a flow of desk opens on %s, live %v, of %s", t.ID, ok, live.Service)
+	}
+}
+
+func (w *world) data() {
+	f := w.flow()
+	stamp, ok := w.opened[f]
+	if !ok || rapid.IntRange(0, 5).Draw(w.t, "other") == 0 {
+		stamp = placement.StampOf(fmt.Sprintf("i-%d", rapid.IntRange(0, 6).Draw(w.t, "id")))
+	}
+	p := packet.Packet{
+		Flow: f, Flags: packet.Ack, Stamp: stamp, Seq: uint32(rapid.IntRange(7, 30).Draw(w.t, "seq")),
+		Acked: uint32(rapid.IntRange(0, 20).Draw(w.t, "acked")), Size: uint16(rapid.IntRange(0, 5).Draw(w.t, "size")),
+	}
+	if rapid.IntRange(0, 9).Draw(w.t, "fin") == 0 {
+		p.Flags |= packet.Fin
+	}
+	switch d := w.core.Handle(w.now, p, []byte{2}).(type) {
+	case placement.Forward:
+		if d.To.Stamp != stamp {
+			w.t.Fatalf("data with stamp %x goes to %s", stamp, d.To.ID)
+		}
+	case placement.Reject:
+		w.checkReset()
+	}
+}
+
+func (w *world) effects() {
+	for _, e := range w.core.Effects() {
+		switch e := e.(type) {
+		case placement.Resend:
+			if e.Open {
+				w.checkOpen(e.To)
+			}
+		case placement.Reset:
+			w.checkReset()
+		}
+	}
+}
+
+func (w *world) checkReset() {
+	if w.kind != route.Safe {
+		w.t.Fatalf("a flow of %s requests is reset", w.kind)
+	}
+}
+
+func (w *world) check() {
+	for stamp, l := range w.core.Load().Targets {
+		if l.Busy < 0 || l.Queued < 0 {
+			w.t.Fatalf("load %+v of %s", l, w.stamps[stamp])
+		}
+	}
+}
+
+// TestStampsThatMeet holds that of two targets with one stamp the one born first
+// keeps it and the other gets no flows.
+func TestStampsThatMeet(t *testing.T) {
+	a, b := twoWithOneStamp()
+	c := placement.New(placement.Config{Domain: "west-a", Seed: 1, MaxFlows: 10})
+	target := func(id string, born int64) catalog.Target {
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(born)}), 80)
+		return catalog.Target{ID: id, Number: uint64(born), Service: "desk", Slots: 2, Domain: "west-a", Born: born, At: at}
+	}
+	routes := route.NewTable(1, time.Second, []route.Route{{
+		At: route.Address{IP: worldIP, Port: worldPort}, Kind: route.Safe, Shares: []route.Share{{Service: "desk", Weight: 1}},
+	}})
+	c.SetCatalog(0, catalog.Catalog{}.WithRoutes(routes, 1).WithTargets([]catalog.Target{target(a, 2), target(b, 1)}, 1))
+	for port := range uint16(8) {
+		p := packet.Packet{Flow: packet.Flow{CallerIP: 1, CallerPort: port, ServiceIP: worldIP, ServicePort: worldPort}, Flags: packet.Syn}
+		d, ok := c.Handle(0, p, nil).(placement.Forward)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, d.To.ID, qt.Equals, b)
+	}
+}
+
+func twoWithOneStamp() (string, string) {
+	seen := map[uint32]string{}
+	for i := 0; ; i++ {
+		id := fmt.Sprintf("i-%010x", i)
+		if other, ok := seen[placement.StampOf(id)]; ok {
+			return other, id
+		}
+		seen[placement.StampOf(id)] = id
+	}
+}
+
+// BenchmarkOpenFlow measures a packet of an open flow, beside the system calls.
+func BenchmarkOpenFlow(b *testing.B) {
+	c := placement.New(placement.Config{Domain: "west-a", Seed: 1, MaxFlows: 100000})
+	var targets []catalog.Target
+	for i := range 150 {
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80)
+		targets = append(targets, catalog.Target{ID: fmt.Sprintf("i-%010x", i), Number: uint64(i), Service: "desk", Slots: 2, Domain: "west-a", At: at})
+	}
+	routes := route.NewTable(1, time.Minute, []route.Route{{
+		At: route.Address{IP: worldIP, Port: worldPort}, Kind: route.Safe, Shares: []route.Share{{Service: "desk", Weight: 1}},
+	}})
+	c.SetCatalog(0, catalog.Catalog{}.WithRoutes(routes, 1).WithTargets(targets, 1))
+	const flows = 20000
+	packets := make([]packet.Packet, flows)
+	for i := range packets {
+		f := packet.Flow{CallerIP: uint32(i / 1000), CallerPort: uint16(i % 1000), ServiceIP: worldIP, ServicePort: worldPort}
+		d := c.Handle(0, packet.Packet{Flow: f, Flags: packet.Syn}, nil).(placement.Forward)
+		packets[i] = packet.Packet{Flow: f, Flags: packet.Ack, Stamp: d.To.Stamp, Seq: 1, Acked: 1}
+		c.Handle(0, packets[i], nil)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		c.Handle(time.Millisecond, packets[i%flows], nil)
+	}
+}
--- /dev/null
+++ b/placement/script_test.go
@@ -0,0 +1,285 @@
+package placement_test
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wisteriaweir/catalog"
+	"wisteriaweir/packet"
+	"wisteriaweir/placement"
+	"wisteriaweir/route"
+)
+
+var update = flag.Bool("update", false, "write the golden files of testdata again")
+
+// TestScripts runs the files of testdata; runner.line lists the commands. The
+// indented lines are what the core decides.
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, files, qt.Not(qt.HasLen), 0)
+	for _, name := range files {
+		t.Run(filepath.Base(name), func(t *testing.T) { runScript(t, name) })
+	}
+}
+
+func runScript(t *testing.T, name string) {
+	want, err := os.ReadFile(name)
+	qt.Assert(t, err, qt.IsNil)
+	r := newRunner()
+	for line := range strings.Lines(string(want)) {
+		if strings.HasPrefix(line, "  ") {
+			continue
+		}
+		r.out.WriteString(line)
+		if words := strings.Fields(line); len(words) > 0 && words[0] != "#" {
+			qt.Assert(t, r.line(words[0], words[1:]), qt.IsNil, qt.Commentf("%s", line))
+			r.effects()
+		}
+	}
+	if *update {
+		qt.Assert(t, os.WriteFile(name, r.out.Bytes(), 0o644), qt.IsNil)
+		return
+	}
+	qt.Assert(t, r.out.String(), qt.Equals, string(want))
+}
+
+// caller is one end of a flow.
+type caller struct {
+	name  string
+	flow  packet.Flow
+	stamp uint32
+	seq   uint32
+	acked uint32
+	last  packet.Packet
+}
+
+type runner struct {
+	core     *placement.Core
+	now      time.Duration
+	callers  map[packet.Flow]*caller
+	byName   map[string]*caller
+	ports    map[string]uint16
+	cat      catalog.Catalog
+	revision uint64
+	out      bytes.Buffer
+}
+
+func newRunner() *runner {
+	r := &runner{
+		callers: map[packet.Flow]*caller{},
+		byName:  map[string]*caller{},
+		ports:   map[string]uint16{},
+		now:     time.Second,
+	}
+	r.core = placement.New(placement.Config{Domain: "west-a", Seed: 1, MaxFlows: 50, Observe: r.observe})
+	return r
+}
+
+func (r *runner) printf(format string, args ...any) {
+	fmt.Fprintf(&r.out, "  %6s "+format+"\n", append([]any{(r.now - time.Second).Round(time.Millisecond)}, args...)...)
+}
+
+func (r *runner) observe(n placement.Notice) {
+	if n.Event != placement.TargetNew {
+		r.printf("%s: %s", n.Target.ID, n.Event)
+	}
+}
+
+// line runs one command:
+//
+//	routes NAME=SERVICE:KIND ...    the routing table
+//	targets NAME:SERVICE:DOMAIN[:drain|:warm] ...    all targets
+//	open C ROUTE | copy C N | answer C | data C BYTES | again C | got C BYTES | fin C
+//	rest C          data of a request that is longer than one packet
+//	stray C STAMP   data with a stamp of its own
+//	others N NAME=BUSY/QUEUED ... [dead=NAME]    the word of a neighbour
+//	wait TIME       time passes, in steps of 10 ms
+func (r *runner) line(cmd string, args []string) error {
+	switch cmd {
+	case "routes":
+		return r.routes(args)
+	case "targets":
+		return r.targets(args)
+	case "others":
+		return r.others(args)
+	case "wait":
+		return r.wait(args[0])
+	case "open":
+		return r.open(args[0], args[1])
+	}
+	c := r.byName[args[0]]
+	if c == nil {
+		return fmt.Errorf("no caller %q", args[0])
+	}
+	n := 0
+	if len(args) > 1 {
+		var err error
+		if n, err = strconv.Atoi(args[1]); err != nil {
+			return err
+		}
+	}
+	return r.packet(cmd, c, uint32(n))
+}
+
+// packet sends one packet of a caller.
+func (r *runner) packet(cmd string, c *caller, n uint32) error {
+	p := packet.Packet{Flow: c.flow, Flags: packet.Ack, Stamp: c.stamp, Seq: c.seq, Acked: c.acked}
+	switch cmd {
+	case "copy":
+		p = packet.Packet{Flow: c.flow, Flags: packet.Syn, Copies: n, Seq: 1000}
+	case "answer":
+		c.acked++
+		p.Acked = c.acked
+	case "data", "rest":
+		p.Size = uint16(n)
+		c.seq += n
+	case "again":
+		p = c.last
+	case "got":
+		c.acked += n
+		p.Acked = c.acked
+	case "fin":
+		p.Flags |= packet.Fin
+	case "stray":
+		p.Stamp, p.Size = n, 10
+	default:
+		return fmt.Errorf("no command %q", cmd)
+	}
+	c.last = p
+	r.handle(c, p)
+	return nil
+}
+
+func (r *runner) open(name, route string) error {
+	port, ok := r.ports[route]
+	if !ok {
+		return fmt.Errorf("no route %q", route)
+	}
+	c := &caller{name: name, seq: 1001, flow: packet.Flow{
+		CallerIP: 0x64400001, ServiceIP: 0xc6120001, CallerPort: uint16(1000 + len(r.byName)), ServicePort: port,
+	}}
+	r.byName[name], r.callers[c.flow] = c, c
+	r.handle(c, packet.Packet{Flow: c.flow, Flags: packet.Syn, Seq: 1000})
+	return nil
+}
+
+func (r *runner) handle(c *caller, p packet.Packet) {
+	switch d := r.core.Handle(r.now, p, []byte(c.name)).(type) {
+	case placement.Forward:
+		if p.Open() {
+			c.stamp = d.To.Stamp
+		}
+		r.printf("%s to %s", c.name, d.To.ID)
+	case placement.Reject:
+		r.printf("%s reset, reason %d", c.name, d.Reason)
+	case placement.Drop:
+		r.printf("%s dropped, reason %d", c.name, d.Reason)
+	case placement.Keep:
+		r.printf("%s waits", c.name)
+	}
+}
+
+func (r *runner) effects() {
+	for _, e := range r.core.Effects() {
+		switch e := e.(type) {
+		case placement.Resend:
+			c := r.byName[string(e.Datagram)]
+			if e.Open {
+				c.stamp = e.To.Stamp
+			}
+			r.printf("%s sent to %s", c.name, e.To.ID)
+		case placement.Reset:
+			r.printf("%s reset, reason %d", r.callers[e.Flow].name, e.Reason)
+		}
+	}
+}
+
+func (r *runner) wait(span string) error {
+	d, err := time.ParseDuration(span)
+	if err != nil {
+		return err
+	}
+	for end := r.now + d; r.now < end; {
+		r.now += 10 * time.Millisecond
+		r.core.Tick(r.now)
+		r.effects()
+	}
+	return nil
+}
+
+func (r *runner) routes(args []string) error {
+	var routes []route.Route
+	for i, a := range args {
+		name, rest, _ := strings.Cut(a, "=")
+		service, kind, ok := strings.Cut(rest, ":")
+		if !ok {
+			return fmt.Errorf("route %q", a)
+		}
+		port := uint16(80 + i)
+		r.ports[name] = port
+		routes = append(routes, route.Route{
+			Name: name, At: route.Address{IP: 0xc6120001, Port: port}, Kind: route.Kind(kind),
+			Shares: []route.Share{{Service: service, Weight: 1}},
+		})
+	}
+	r.revision++
+	r.cat = r.cat.WithRoutes(route.NewTable(r.revision, 15*time.Second, routes), r.revision)
+	r.core.SetCatalog(r.now, r.cat)
+	return nil
+}
+
+func (r *runner) targets(args []string) error {
+	r.revision++
+	var targets []catalog.Target
+	for i, a := range args {
+		w := strings.Split(a, ":")
+		if len(w) < 3 {
+			return fmt.Errorf("target %q", a)
+		}
+		t := catalog.Target{
+			ID: w[0], Number: uint64(i + 1), Service: w[1], Domain: w[2], Slots: 2, Revision: r.revision,
+			At: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 9000),
+		}
+		if len(w) > 3 && w[3] == "drain" {
+			t.Draining = true
+		}
+		if len(w) > 3 && w[3] == "warm" {
+			t.Warmup = 2 * time.Second
+		}
+		targets = append(targets, t)
+	}
+	r.cat = r.cat.WithTargets(targets, r.revision)
+	r.core.SetCatalog(r.now, r.cat)
+	return nil
+}
+
+func (r *runner) others(args []string) error {
+	l := placement.Load{Targets: map[uint32]placement.TargetLoad{}}
+	for _, a := range args[1:] {
+		name, value, _ := strings.Cut(a, "=")
+		if name == "dead" {
+			l.Dead = append(l.Dead, placement.StampOf(value))
+			continue
+		}
+		busy, queued, _ := strings.Cut(value, "/")
+		b, errB := strconv.Atoi(busy)
+		q, errQ := strconv.Atoi(queued)
+		if errB != nil || errQ != nil {
+			return fmt.Errorf("load %q", a)
+		}
+		l.Targets[placement.StampOf(name)] = placement.TargetLoad{Busy: b, Queued: q}
+	}
+	r.core.SetNeighbour(r.now, args[0], l)
+	return nil
+}
--- a/placement/target.go
+++ b/placement/target.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -57,11 +58,12 @@
 	if !c.ready && cat.Complete() {
 		c.ready, c.readyAt = true, now
 	}
-	for id, ct := range cat.Targets() {
+	for _, id := range slices.Sorted(maps.Keys(cat.Targets())) {
+		ct, _ := cat.Target(id)
 		c.setTarget(now, id, ct)
 	}
-	for id, t := range c.targets {
-		if _, ok := cat.Target(id); !ok && !t.gone {
+	for _, t := range c.order {
+		if _, ok := cat.Target(t.ID); !ok && !t.gone {
 			t.gone, t.goneAt = true, now
 			c.notify(TargetGone, t)
 		}
@@ -112,7 +114,8 @@
 func (c *Core) index() {
 	clear(c.byStamp)
 	clear(c.pools)
-	for _, t := range c.sorted() {
+	c.order = c.sorted()
+	for _, t := range c.order {
 		t.collides = c.byStamp[t.Stamp] != nil
 		if t.collides {
 			c.notify(TargetCollides, t)
