--- /dev/null
+++ b/reader/codec_test.go
@@ -0,0 +1,123 @@
+package reader_test
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wisteriaweir/catalog"
+	"wisteriaweir/placement"
+	"wisteriaweir/reader"
+	"wisteriaweir/route"
+)
+
+var self = reader.Member{Name: "one", Domain: "west-a", At: netip.MustParseAddrPort("10.1.0.10:7720")}
+
+func someTargets(n int) []catalog.Target {
+	var targets []catalog.Target
+	for i := range n {
+		targets = append(targets, catalog.Target{
+			ID: fmt.Sprintf("i-%010x", i), Number: uint64(i + 1), Service: "desk", Domain: "west-a", Slots: 2,
+			At:       netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i >> 8), byte(i)}), 8080),
+			Draining: i%3 == 0, Warmup: time.Duration(i) * time.Millisecond, Born: int64(i), Revision: uint64(i),
+		})
+	}
+	return targets
+}
+
+func someRoutes(n int) []route.Route {
+	var routes []route.Route
+	for i := range n {
+		routes = append(routes, route.Route{
+			Name: fmt.Sprintf("r-%04d", i), At: route.Address{IP: uint32(i + 1), Port: 443}, Kind: route.Safe,
+			Objective: 150 * time.Millisecond, Timeout: time.Second, Shares: []route.Share{{Service: "desk", Weight: 1}},
+		})
+	}
+	return routes
+}
+
+// TestCodec holds that every note comes out as it went in, in any order of its
+// datagrams.
+func TestCodec(t *testing.T) {
+	table := route.NewTable(9, 15*time.Second, someRoutes(200))
+	for _, n := range []reader.Note{
+		reader.Hello{},
+		reader.Beat{Routes: 7, Targets: 9, Reading: true, Age: 1200 * time.Millisecond},
+		reader.Ask{Routes: 3, Targets: 4},
+		reader.Load{Load: placement.Load{Targets: map[uint32]placement.TargetLoad{5: {Busy: 2, Queued: 1}}, Dead: []uint32{8}}},
+		reader.Content{Revision: 12, Full: true, Targets: someTargets(150)},
+		reader.Content{Revision: 12, From: 10, Changes: []catalog.Change{{Target: someTargets(1)[0]}}},
+		reader.Content{Revision: 13, From: 12, Changes: []catalog.Change{{Target: catalog.Target{ID: "i-1", Revision: 13}, Removed: true}}},
+		reader.Content{Revision: 14, From: 2, RouteChanges: &route.Changes{
+			Number: 4, Idle: time.Second, Set: someRoutes(3), Removed: []route.Address{{IP: 4, Port: 80}},
+		}},
+	} {
+		got := roundTrip(t, n)
+		qt.Assert(t, reflect.DeepEqual(got, n), qt.IsTrue, qt.Commentf("%+v is not %+v", got, n))
+	}
+	got := roundTrip(t, reader.Content{Revision: 11, Routes: &table}).(reader.Content)
+	qt.Assert(t, got.Routes.Number(), qt.Equals, table.Number())
+	qt.Assert(t, got.Routes.Idle(), qt.Equals, table.Idle())
+	qt.Assert(t, reflect.DeepEqual(got.Routes.Routes(), table.Routes()), qt.IsTrue)
+}
+
+func roundTrip(t *testing.T, n reader.Note) reader.Note {
+	datagrams, err := reader.NewEncoder(self, 1).Encode(n)
+	qt.Assert(t, err, qt.IsNil)
+	d := reader.NewDecoder()
+	var got reader.Note
+	for i := range datagrams {
+		b := datagrams[len(datagrams)-1-i]
+		qt.Assert(t, len(b) <= reader.MaxNote, qt.IsTrue)
+		from, n, err := d.Decode(b)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, from, qt.Equals, self)
+		if i < len(datagrams)-1 {
+			qt.Assert(t, n, qt.IsNil)
+		}
+		got = n
+	}
+	return got
+}
+
+// TestDecoderLostPart holds that a content without all its parts is never given
+// out, and that the next one is.
+func TestDecoderLostPart(t *testing.T) {
+	e, d := reader.NewEncoder(self, 1), reader.NewDecoder()
+	first, err := e.Encode(reader.Content{Revision: 1, Full: true, Targets: someTargets(100)})
+	qt.Assert(t, err, qt.IsNil)
+	second, err := e.Encode(reader.Content{Revision: 2, Full: true, Targets: someTargets(100)})
+	qt.Assert(t, err, qt.IsNil)
+	var got []reader.Note
+	for _, b := range append(first[1:], second...) {
+		_, n, err := d.Decode(b)
+		qt.Assert(t, err, qt.IsNil)
+		if n != nil {
+			got = append(got, n)
+		}
+	}
+	qt.Assert(t, got, qt.HasLen, 1)
+	qt.Assert(t, got[0].(reader.Content).Revision, qt.Equals, uint64(2))
+}
+
+func FuzzDecode(f *testing.F) {
+	e := reader.NewEncoder(self, 1)
+	for _, n := range []reader.Note{
+		reader.Hello{}, reader.Beat{Routes: 1}, reader.Ask{}, reader.Load{Load: placement.Load{Dead: []uint32{8}}},
+		reader.Content{Revision: 1, Full: true, Targets: someTargets(2)},
+	} {
+		datagrams, err := e.Encode(n)
+		qt.Assert(f, err, qt.IsNil)
+		f.Add(datagrams[0])
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		from, _, err := reader.NewDecoder().Decode(b)
+		if err == nil && (from.Name == "" || !from.At.IsValid()) {
+			t.Fatalf("accepted a note of %+v", from)
+		}
+	})
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,44 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"wisteriaweir/route"
+)
+
+// TestDiff holds that the changes between two tables lead from one to the other.
+func TestDiff(t *testing.T) {
+	routes := rapid.Custom(func(t *rapid.T) route.Route {
+		return route.Route{
+			At:   route.Address{IP: rapid.Uint32Range(1, 6).Draw(t, "ip"), Port: 80},
+			Kind: route.Safe, Name: rapid.StringMatching("[ab]").Draw(t, "name"),
+			Shares: []route.Share{{Service: "s", Weight: rapid.IntRange(0, 2).Draw(t, "weight")}},
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		a := route.NewTable(1, time.Second, rapid.SliceOf(routes).Draw(t, "a"))
+		b := route.NewTable(2, 2*time.Second, rapid.SliceOf(routes).Draw(t, "b"))
+		got := a.WithChanges(a.Diff(b))
+		if got.Number() != 2 || got.Idle() != b.Idle() || got.Size() != b.Size() {
+			t.Fatalf("%d routes of %d", got.Size(), b.Size())
+		}
+		if ch := got.Diff(b); len(ch.Set)+len(ch.Removed) > 0 {
+			t.Fatalf("left: %+v", ch)
+		}
+	})
+}
+
+func TestPick(t *testing.T) {
+	r := route.Route{Shares: []route.Share{{Service: "a", Weight: 3}, {Service: "none", Weight: 0}, {Service: "b", Weight: 1}}}
+	count := map[string]int{}
+	for i := range 400 {
+		count[r.Pick(float64(i)/400)]++
+	}
+	qt.Assert(t, count, qt.DeepEquals, map[string]int{"a": 300, "b": 100})
+	qt.Assert(t, r.Allows("none"), qt.IsFalse)
+	qt.Assert(t, route.Route{}.Pick(0.5), qt.Equals, "")
+}
