Let packets wait in the socket until flows can be placed

Cause: a host that starts dropped what came in the 40 to 60 ms before it knew routes and targets; callers repeat it only 400 ms later, past a deadline of 500 ms. Change: the socket is read once the catalog is complete, or 180 ms after the start.

--- a/host/forward.go
+++ b/host/forward.go
@@ -23,6 +23,10 @@
 	// leastWait is the shortest wait for a packet. It lets packets that are there
 	// be handled before what is due.
 	leastWait = time.Millisecond
+	// awaitMost bounds the time for which packets wait in the socket of a host that
+	// has just started; awaitStep is the time between two looks.
+	awaitMost = 180 * time.Millisecond
+	awaitStep = 2 * time.Millisecond
 	// loadFirst and loadEach make up the time between two words on the load: the
 	// more neighbours, the longer.
 	loadFirst = 15 * time.Millisecond
@@ -63,6 +67,7 @@
 		}),
 		in: make([]byte, platform.PrefixSize+platform.MaxPacket+1),
 	}
+	h.awaitCatalog(ctx)
 	for ctx.Err() == nil {
 		f.hearNeighbours()
 		if err := f.step(); err != nil {
@@ -73,6 +78,14 @@
 	return nil
 }
 
+// awaitCatalog waits until flows can be placed, as long as the packets that wait
+// in the socket meanwhile are still of use to their callers.
+func (h *Host) awaitCatalog(ctx context.Context) {
+	for !h.current.Load().Complete() && h.now() < awaitMost && ctx.Err() == nil {
+		sleep(ctx, awaitStep)
+	}
+}
+
 // hearNeighbours takes in what the other hosts of the failure domain see.
 func (f *forwarder) hearNeighbours() {
 	for {
