Keep a new reader from filling its link, and judge targets by more than two stalls

Change: a new reader watches from what it believes already; lists are told as changes; strong hosts read first; contents go out at a fifth of the link; a verdict needs at least as many signs of life as stalls within 400 ms over all targets not dead. One line in place of one for each target when a host starts.

--- a/host/control.go
+++ b/host/control.go
@@ -18,8 +18,16 @@
 	controlTick = 100 * time.Millisecond
 	// dutyStep is the time between two looks at whether this host has to read.
 	dutyStep = 50 * time.Millisecond
+	// paceEvery is the time between two sends of large contents, linkShare the part
+	// of the link that they may take.
+	paceEvery = 10 * time.Millisecond
+	linkShare = 0.2
 	// noteQueue is the number of datagrams from other hosts that may wait.
 	noteQueue = 256
+	// strongProcessor and strongLink are the share of a core and the Mbit/s from
+	// which a host counts as one with something to spare.
+	strongProcessor = 0.3
+	strongLink      = 50
 	// settleAtFirst is how long a host that starts with all the others waits
 	// before it lists them.
 	settleAtFirst = 1200 * time.Millisecond
@@ -37,6 +45,15 @@
 	core    *reader.Core
 	encoder *reader.Encoder
 	conn    *net.UDPConn
+	// outbox holds datagrams of large contents, which go out at a pace that leaves
+	// the link to the packets.
+	outbox []outgoing
+}
+
+// outgoing is a datagram for another host.
+type outgoing struct {
+	to netip.AddrPort
+	b  []byte
 }
 
 // listenNotes opens the socket on which the other hosts are heard.
@@ -46,7 +63,9 @@
 	if err != nil {
 		return nil, reader.Member{}, &StartError{Part: "notes", Address: at.String(), Err: err}
 	}
-	return conn, reader.Member{Name: h.cfg.Boot.Name, Domain: h.cfg.Boot.Domain, At: at}, nil
+	b := h.cfg.Boot
+	strong := b.Processor >= strongProcessor && b.Link >= strongLink
+	return conn, reader.Member{Name: b.Name, Domain: b.Domain, At: at, Strong: strong}, nil
 }
 
 // believe owns the catalog: it takes in what the store and the other hosts say,
@@ -77,6 +96,7 @@
 	tick := time.NewTicker(controlTick)
 	defer tick.Stop()
 	known := false
+	var pace <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
@@ -94,6 +114,12 @@
 			if known {
 				c.perform(c.core.Tick(c.h.now()))
 			}
+		case <-pace:
+			c.drain()
+		}
+		pace = nil
+		if len(c.outbox) > 0 {
+			pace = time.After(paceEvery)
 		}
 		c.h.domainPeers.Store(int32(len(c.core.Neighbours())))
 		if c.core.Reading() != c.h.reading.Load() {
@@ -143,10 +169,29 @@
 		return
 	}
 	for _, b := range datagrams {
-		c.h.count.noteBytes.Add(len(b))
-		if _, err := c.conn.WriteToUDPAddrPort(b, t.To.At); err != nil {
-			c.h.count.noteErrors.Inc()
+		o := outgoing{to: t.To.At, b: b}
+		if len(datagrams) > 1 {
+			c.outbox = append(c.outbox, o)
+			continue
 		}
+		c.send(o)
+	}
+}
+
+func (c *control) send(o outgoing) {
+	c.h.count.noteBytes.Add(len(o.b))
+	if _, err := c.conn.WriteToUDPAddrPort(o.b, o.to); err != nil {
+		c.h.count.noteErrors.Inc()
+	}
+}
+
+// drain sends what the pace allows for one paceEvery.
+func (c *control) drain() {
+	budget := c.h.cfg.Boot.Link * linkShare / 8 * 1e6 * paceEvery.Seconds()
+	for budget > 0 && len(c.outbox) > 0 {
+		c.send(c.outbox[0])
+		budget -= float64(len(c.outbox[0].b))
+		c.outbox = c.outbox[1:]
 	}
 }
 
@@ -229,7 +274,9 @@
 }
 
 func (h *Host) announce(ctx context.Context, self reader.Member) error {
-	return h.store.Set(ctx, platform.KindHosts, self.Name, platform.HostSpec{Address: self.At.String(), Domain: self.Domain})
+	return h.store.Set(ctx, platform.KindHosts, self.Name, platform.HostSpec{
+		Address: self.At.String(), Domain: self.Domain, Strong: self.Strong,
+	})
 }
 
 func (h *Host) listMembers(ctx context.Context) ([]reader.Member, error) {
@@ -244,7 +291,7 @@
 			h.log.WithError(err).Warn("host: entry of a host not used")
 			continue
 		}
-		members = append(members, reader.Member{Name: r.Name, Domain: spec.Domain, At: at})
+		members = append(members, reader.Member{Name: r.Name, Domain: spec.Domain, At: at, Strong: spec.Strong})
 	}
 	return members, nil
 }
--- a/host/forward.go
+++ b/host/forward.go
@@ -46,6 +46,8 @@
 	reset []byte
 	// seen is the catalog that the core has.
 	seen *catalog.Catalog
+	// started says that flows can be placed.
+	started bool
 	// toldAt is when the load was last handed on, toldEmpty whether it was nothing.
 	toldAt    time.Duration
 	toldEmpty bool
@@ -57,16 +59,13 @@
 	if err := h.conn.SetReadBuffer(socketBuffer); err != nil {
 		h.log.WithError(err).Warn("host: receive buffer not set")
 	}
-	f := &forwarder{
-		h: h,
-		core: placement.New(placement.Config{
-			Domain:   h.cfg.Boot.Domain,
-			Seed:     h.cfg.Seed,
-			MaxFlows: int(h.cfg.Boot.Memory / flowShare / flowMemory),
-			Observe:  h.logTarget,
-		}),
-		in: make([]byte, platform.PrefixSize+platform.MaxPacket+1),
-	}
+	f := &forwarder{h: h, in: make([]byte, platform.PrefixSize+platform.MaxPacket+1)}
+	f.core = placement.New(placement.Config{
+		Domain:   h.cfg.Boot.Domain,
+		Seed:     h.cfg.Seed,
+		MaxFlows: int(h.cfg.Boot.Memory / flowShare / flowMemory),
+		Observe:  f.logTarget,
+	})
 	h.awaitCatalog(ctx)
 	for ctx.Err() == nil {
 		f.hearNeighbours()
@@ -128,8 +127,7 @@
 	n, _, err := f.h.conn.ReadFromUDPAddrPort(f.in[platform.PrefixSize:])
 	now := f.h.now()
 	if current := f.h.current.Load(); current != f.seen {
-		f.seen = current
-		f.core.SetCatalog(now, *current)
+		f.takeCatalog(now, current)
 	}
 	var timeout net.Error
 	switch {
@@ -154,6 +152,18 @@
 	return nil
 }
 
+// takeCatalog makes a catalog the one that packets follow.
+func (f *forwarder) takeCatalog(now time.Duration, c *catalog.Catalog) {
+	if !f.started && c.Complete() {
+		f.h.log.WithFields(log.Fields{
+			"targets": len(c.Targets()), "revision": c.TargetsRevision(), "after": now.String(),
+		}).Info("host: targets known")
+	}
+	f.seen = c
+	f.core.SetCatalog(now, *c)
+	f.started = c.Complete()
+}
+
 // wait returns how long to wait for a packet.
 func (f *forwarder) wait() time.Duration {
 	next, ok := f.core.Next()
@@ -214,9 +224,13 @@
 	}
 }
 
-// logTarget logs a change of what is believed of a target.
-func (h *Host) logTarget(n placement.Notice) {
-	h.log.WithFields(log.Fields{
+// logTarget logs a change of what is believed of a target. What a start finds is
+// one line for all targets.
+func (f *forwarder) logTarget(n placement.Notice) {
+	if !f.started {
+		return
+	}
+	f.h.log.WithFields(log.Fields{
 		"target": n.Target.ID, "service": n.Target.Service, "at": n.Target.At, "domain": n.Target.Domain,
 		"revision": n.Target.Revision,
 	}).Info("host: " + string(n.Event))
--- a/host/reading.go
+++ b/host/reading.go
@@ -31,6 +31,8 @@
 	pause time.Duration
 	// revision is the revision to watch from, 0 if a list is needed.
 	revision uint64
+	// gone says that the history which the catalog would need is gone.
+	gone     bool
 	failures int
 }
 
@@ -43,6 +45,9 @@
 			sleep(ctx, dutyStep)
 			continue
 		}
+		if f.revision == 0 && !f.gone {
+			f.revision = f.known()
+		}
 		n, err := f.next(ctx)
 		if err != nil {
 			f.failed(ctx, err)
@@ -60,11 +65,21 @@
 	}
 }
 
+// known returns the revision that the catalog has already, from which a watch
+// can go on.
+func (f *feed) known() uint64 {
+	c := f.h.current.Load()
+	if f.kind == platform.KindConfig {
+		return c.RoutesRevision()
+	}
+	return c.TargetsRevision()
+}
+
 // failed waits before the next call. A history that is gone needs no wait.
 func (f *feed) failed(ctx context.Context, err error) {
 	if platform.Gone(err) {
 		f.h.log.WithField("kind", f.kind).Info("host: store dropped its history, listing again")
-		f.revision = 0
+		f.revision, f.gone = 0, true
 		return
 	}
 	f.failures++
@@ -104,7 +119,7 @@
 	if err != nil {
 		return reader.Content{}, err
 	}
-	f.revision = revision
+	f.revision, f.gone = revision, false
 	n := reader.Content{Revision: revision}
 	if f.kind == platform.KindConfig {
 		for _, r := range records {
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -17,9 +17,10 @@
 	// deadStalls is the number of flows that have to stall on a target, with no
 	// sign of life in between, before it counts as dead.
 	deadStalls = 2
-	// aliveWithin is how recently another target has to have answered for a verdict:
-	// else the fault is more likely on this host's side.
-	aliveWithin = 250 * time.Millisecond
+	// judgeSpan is the span in which at least as many signs of life as stalls have to
+	// come, over all targets that do not count as dead: else the fault is more likely
+	// on this host's side.
+	judgeSpan = 400 * time.Millisecond
 )
 
 // evidence is what flows show of a target's health.
@@ -44,7 +45,7 @@
 // progressed notes that the target of f has answered.
 func (c *Core) progressed(now time.Duration, f *flow) {
 	t := f.target
-	c.progressAt = now
+	c.alive.add(now)
 	t.progressAt = now
 	if t.stalled > 0 {
 		t.stalled = 0
@@ -67,6 +68,9 @@
 	if f.stalledIn != t.round+1 {
 		f.stalledIn = t.round + 1
 		t.stalled++
+		if !t.dead {
+			c.stalls.add(now)
+		}
 	}
 	c.doubt(now, t)
 	if !t.dead && c.isDead(now, t) {
@@ -87,7 +91,7 @@
 // isDead decides whether a target answers nobody. One flow is enough for a
 // target that has left the catalog, or that a neighbour has found dead.
 func (c *Core) isDead(now time.Duration, t *Target) bool {
-	if now-c.progressAt > aliveWithin {
+	if c.alive.within(now, judgeSpan) < c.stalls.within(now, judgeSpan) {
 		return false
 	}
 	if t.gone || t.deadElsewhere {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -119,9 +119,10 @@
 	// readyAt is when flows could first be placed.
 	readyAt time.Duration
 	ready   bool
-	// progressAt is when any target last answered.
-	progressAt time.Duration
-	swept      time.Duration
+	// alive and stalls are the signs of life and the stalls of all targets.
+	alive  recent
+	stalls recent
+	swept  time.Duration
 }
 
 // New returns a core that knows nothing yet.
--- a/reader/codec.go
+++ b/reader/codec.go
@@ -74,6 +74,7 @@
 func (e *Encoder) single(n *readerpb.Note) ([][]byte, error) {
 	n.Host, n.Domain = e.self.Name, e.self.Domain
 	n.Ip, n.Port = ipNumber(e.self.At.Addr()), uint32(e.self.At.Port())
+	n.Strong = e.self.Strong
 	b, err := proto.Marshal(n)
 	if err != nil {
 		return nil, err
@@ -128,7 +129,7 @@
 	if err := proto.Unmarshal(b, &m); err != nil {
 		return Member{}, nil, &NoteError{Reason: err.Error()}
 	}
-	from := Member{Name: m.Host, Domain: m.Domain, At: endpoint(m.Ip, m.Port)}
+	from := Member{Name: m.Host, Domain: m.Domain, At: endpoint(m.Ip, m.Port), Strong: m.Strong}
 	if from.Name == "" || m.Ip == 0 || m.Port == 0 || m.Port > 65535 {
 		return Member{}, nil, &NoteError{Reason: "names no host"}
 	}
--- a/reader/member.go
+++ b/reader/member.go
@@ -14,13 +14,22 @@
 	Domain string
 	// At is the UDP address on which the host hears the others.
 	At netip.AddrPort
+	// Strong says that the host has processor and link to spare for the others.
+	Strong bool
 }
 
-// rank sorts members by rendezvous hashing: all hosts that know the same
-// members find the same order, and a member that comes or goes moves no other.
+// rank sorts members, strong ones in front, by rendezvous hashing: all hosts that
+// know the same members find the same order, and a member that comes or goes
+// moves no other.
 func rank(members []Member) []Member {
 	sorted := slices.Clone(members)
 	slices.SortFunc(sorted, func(a, b Member) int {
+		if a.Strong != b.Strong {
+			if a.Strong {
+				return -1
+			}
+			return 1
+		}
 		x, y := xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)
 		switch {
 		case x > y:
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -174,14 +174,18 @@
 	return c.take()
 }
 
-// shorten turns a routing table into the changes that lead to it, if there was
-// one before.
+// shorten turns a routing table, or all targets, into the changes that lead
+// there, if there was something before.
 func shorten(before catalog.Catalog, n Content) Content {
-	if n.Routes == nil || before.RoutesRevision() == 0 {
+	switch {
+	case n.Routes != nil && before.RoutesRevision() > 0:
+		ch := before.Routes().Diff(*n.Routes)
+		return Content{Revision: n.Revision, From: before.RoutesRevision(), RouteChanges: &ch}
+	case n.Full && before.TargetsRevision() > 0:
+		return Content{Revision: n.Revision, From: before.TargetsRevision(), Changes: before.Diff(n.Targets, n.Revision)}
+	default:
 		return n
 	}
-	ch := before.Routes().Diff(*n.Routes)
-	return Content{Revision: n.Revision, From: before.RoutesRevision(), RouteChanges: &ch}
 }
 
 // meet returns the peer that a note came from.
