--- a/host/host.go
+++ b/host/host.go
@@ -93,7 +93,7 @@
 		loads:      make(chan placement.Load, 1),
 		neighbours: make(chan neighbourLoad, neighbourQueue),
 	}
-	h.store = platform.NewStore(platform.StoreConfig{Address: cfg.Boot.Store, Observe: h.count.call})
+	h.store = platform.NewStore(platform.StoreConfig{URL: "http://" + cfg.Boot.Store.String(), Observe: h.count.call})
 	h.current.Store(&catalog.Catalog{})
 	return h, nil
 }
