--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 # run starts a whole local system, drives a bounded load through it and prints one line.
 run: build
 	@script/run
+	@script/runhosts
 
 # test runs formatter, linters and every test, with the race detector.
 test: lint
--- a/cmd_fake.go
+++ b/cmd_fake.go
@@ -60,6 +60,7 @@
 			fakeFabricCommand(),
 			fakeTargetCommand(),
 			fakeCallerCommand(),
+			fakeFlowsCommand(),
 		},
 	}
 }
@@ -71,11 +72,13 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7200", Usage: "HTTP address"},
 			&cli.DurationFlag{Name: "host-lag", Value: time.Second, Usage: "how long the list of hosts stays behind"},
+			&cli.DurationFlag{Name: "lapse", Value: 1200 * time.Millisecond, Usage: "silence after which the entry of a target is removed"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
 			ctx, stop := untilSignal(ctx)
 			defer stop()
-			p := fake.NewPlatform(fake.PlatformConfig{HostLag: cmd.Duration("host-lag")})
+			p := fake.NewPlatform(fake.PlatformConfig{HostLag: cmd.Duration("host-lag"), Lapse: cmd.Duration("lapse")})
+			go p.Run(ctx)
 			srv := &http.Server{Addr: cmd.String("listen"), Handler: p, ReadHeaderTimeout: time.Second}
 			go func() {
 				<-ctx.Done()
--- /dev/null
+++ b/fake/flowcaller.go
@@ -0,0 +1,450 @@
+package fake
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"wisteriaweir/platform"
+)
+
+const (
+	// openingTries is the number of sends of an opening packet; it fails
+	// openingLimit after the first.
+	openingTries = 3
+	openingLimit = 1400 * time.Millisecond
+	// callerTick is the time between two looks for segments to send again.
+	callerTick = 20 * time.Millisecond
+	// feedGap is the time between two requests of a long flow.
+	feedGap = 250 * time.Millisecond
+	// retryMost is the number of further tries of a request.
+	retryMost = 2
+	// retryPause is the wait before a further try.
+	retryPause = 50 * time.Millisecond
+	// feedLife is the number of requests after which a caller opens another flow.
+	feedLife = 40
+)
+
+// openingResend is when an opening packet is sent again.
+var openingResend = []time.Duration{200 * time.Millisecond, 600 * time.Millisecond}
+
+// Line is one kind of request of the callers.
+type Line struct {
+	Service string
+	// At is the address of the service's route.
+	At netip.AddrPort
+	// Long says that a flow carries many requests.
+	Long bool
+	// Safe says that requests may be repeated.
+	Safe bool
+	// Size is the size of a request's body in bytes.
+	Size     int
+	Deadline time.Duration
+}
+
+// FlowResult is what callers saw.
+type FlowResult struct {
+	// Requests is the number of requests, Answered of those that were answered
+	// with success, Refused of those that were told not to have run, Failed of the
+	// others.
+	Requests, Answered, Refused, Failed int64
+	// Late counts answers after half of the deadline.
+	Late int64
+	// Crossed counts answers that belong to another request or service, Forged
+	// packets that no end wrote.
+	Crossed, Forged int64
+	// Resets holds the resets of open flows that hosts sent.
+	Resets []FlowReset
+	// IDs are the requests that may run at most once, by whether a success or a
+	// refusal was told.
+	Told map[string]string
+}
+
+// FlowReset is a reset of an open flow by a host.
+type FlowReset struct {
+	Target string
+	At     time.Time
+}
+
+// FlowCallerConfig configures FlowCallers.
+type FlowCallerConfig struct {
+	// First is the address of the first caller; the others follow.
+	First netip.Addr
+	// Count is the number of callers of each line.
+	Count int
+	// Port is the port on which hosts and callers hear packets.
+	Port   uint16
+	Lines  []Line
+	Router *Router
+	Seed   uint64
+}
+
+// FlowCallers stand in for clients that speak the platform's packets.
+type FlowCallers struct {
+	cfg FlowCallerConfig
+	ids atomic.Int64
+
+	mu     sync.Mutex
+	result FlowResult
+}
+
+// NewFlowCallers returns callers.
+func NewFlowCallers(cfg FlowCallerConfig) *FlowCallers {
+	return &FlowCallers{cfg: cfg, result: FlowResult{Told: map[string]string{}}}
+}
+
+// Result returns what the callers saw so far.
+func (c *FlowCallers) Result() FlowResult {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.result
+	r.Resets = append([]FlowReset(nil), c.result.Resets...)
+	r.Told = map[string]string{}
+	for id, told := range c.result.Told {
+		r.Told[id] = told
+	}
+	return r
+}
+
+// note changes the result.
+func (c *FlowCallers) note(change func(r *FlowResult)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change(&c.result)
+}
+
+// Run calls until ctx ends.
+func (c *FlowCallers) Run(ctx context.Context) error {
+	var wg sync.WaitGroup
+	at := c.cfg.First
+	for i, line := range c.cfg.Lines {
+		for k := range c.cfg.Count {
+			conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(at, c.cfg.Port)))
+			if err != nil {
+				return err
+			}
+			caller := &flowCaller{
+				all: c, line: line, conn: conn, at: at, flows: map[uint16]*callerEnd{},
+				rnd: rand.New(rand.NewPCG(c.cfg.Seed, uint64(i*c.cfg.Count+k))), port: 1024,
+			}
+			wg.Go(caller.read)
+			wg.Go(func() { caller.tick(ctx) })
+			wg.Go(func() { caller.run(ctx) })
+			at = at.Next()
+		}
+	}
+	wg.Wait()
+	return nil
+}
+
+// flowCaller is one caller with an address of its own.
+type flowCaller struct {
+	all  *FlowCallers
+	line Line
+	conn *net.UDPConn
+	at   netip.Addr
+	rnd  *rand.Rand
+
+	mu    sync.Mutex
+	port  uint16
+	flows map[uint16]*callerEnd
+}
+
+// callerEnd is a flow with its end here.
+type callerEnd struct {
+	end     flowEnd
+	seq     uint32
+	open    bool
+	failed  bool
+	target  string
+	changed chan struct{}
+}
+
+func (c *flowCaller) run(ctx context.Context) {
+	defer c.conn.Close()
+	var f *callerEnd
+	left := 0
+	for platform.Sleep(ctx, time.Duration((0.5+c.rnd.Float64())*float64(feedGap))) == nil {
+		if f == nil || left == 0 {
+			c.drop(f)
+			f, left = nil, feedLife
+		}
+		left--
+		f = c.request(ctx, f)
+		if !c.line.Long {
+			c.drop(f)
+			f = nil
+		}
+	}
+	c.drop(f)
+}
+
+// request makes one request with its further tries, on f if it is open, and
+// returns the flow that is still open.
+func (c *flowCaller) request(ctx context.Context, f *callerEnd) *callerEnd {
+	start := time.Now()
+	end := start.Add(c.line.Deadline)
+	c.all.note(func(r *FlowResult) { r.Requests++ })
+	for try := 0; ; try++ {
+		id := fmt.Sprintf("%s-%d", c.at, c.all.ids.Add(1))
+		outcome := ""
+		f, outcome = c.try(ctx, f, id, end)
+		if !c.line.Safe {
+			c.all.note(func(r *FlowResult) { r.Told[id] = outcome })
+		}
+		switch {
+		case ctx.Err() != nil:
+			c.all.note(func(r *FlowResult) { r.Requests-- })
+			return f
+		case outcome == "answered":
+			c.all.note(func(r *FlowResult) {
+				r.Answered++
+				if time.Since(start) > c.line.Deadline/2 {
+					r.Late++
+				}
+			})
+			return f
+		}
+		again := c.line.Safe || outcome == "not run"
+		if !again || try == retryMost || time.Now().Add(retryPause).After(end) {
+			c.all.note(func(r *FlowResult) {
+				if outcome == "not run" {
+					r.Refused++
+				} else {
+					r.Failed++
+				}
+			})
+			return f
+		}
+		_ = platform.Sleep(ctx, retryPause)
+	}
+}
+
+// try makes one try and returns the flow if it is still open, and the outcome:
+// answered, not run or unknown.
+func (c *flowCaller) try(ctx context.Context, f *callerEnd, id string, end time.Time) (*callerEnd, string) {
+	if f == nil {
+		if f = c.open(ctx, end); f == nil {
+			return nil, "not run"
+		}
+	}
+	method := http.MethodPost
+	if c.line.Safe {
+		method = http.MethodGet
+	}
+	request := fmt.Appendf(nil, "%s /%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n",
+		method, c.line.Service, c.line.At, headerRequest, id, c.line.Size)
+	request = append(request, bytes.Repeat([]byte{'x'}, c.line.Size)...)
+	c.mu.Lock()
+	f.end.write(time.Now(), request, false)
+	c.mu.Unlock()
+	for {
+		resp, ok := c.answer(f)
+		switch {
+		case ok && resp.Header.Get(headerRequest) != id:
+			c.all.note(func(r *FlowResult) { r.Crossed++ })
+			c.drop(f)
+			return nil, "unknown"
+		case ok && resp.StatusCode == http.StatusOK:
+			return c.after(f), "answered"
+		case ok:
+			return c.after(f), "not run"
+		case c.broken(f) || !c.wait(ctx, f, end):
+			c.drop(f)
+			return nil, "unknown"
+		}
+	}
+}
+
+// open opens a flow, and returns nil if no target takes it.
+func (c *flowCaller) open(ctx context.Context, end time.Time) *callerEnd {
+	c.mu.Lock()
+	c.port++
+	port := c.port
+	local := netip.AddrPortFrom(c.at, port)
+	f := &callerEnd{seq: c.rnd.Uint32(), changed: make(chan struct{}, 1)}
+	f.end = flowEnd{local: local, remote: c.line.At, next: f.seq + 1, early: map[uint32]segment{}, out: c.out}
+	c.flows[port] = f
+	c.mu.Unlock()
+	start := time.Now()
+	for copies := range openingTries {
+		c.mu.Lock()
+		c.out(segment{flags: segSyn, to: c.line.At, from: local, seq: f.seq, ack: uint32(copies)})
+		c.mu.Unlock()
+		until := start.Add(openingLimit)
+		if copies < len(openingResend) {
+			until = start.Add(openingResend[copies])
+		}
+		if until.After(end) {
+			until = end
+		}
+		for c.wait(ctx, f, until) {
+			if c.broken(f) {
+				c.drop(f)
+				return nil
+			}
+			if c.isOpen(f) {
+				return f
+			}
+		}
+	}
+	c.drop(f)
+	return nil
+}
+
+func (c *flowCaller) isOpen(f *callerEnd) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return f.open
+}
+
+func (c *flowCaller) broken(f *callerEnd) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return f.failed
+}
+
+// after returns f if it can carry another request.
+func (c *flowCaller) after(f *callerEnd) *callerEnd {
+	c.mu.Lock()
+	over := f.end.closed || f.failed
+	c.mu.Unlock()
+	if !over {
+		return f
+	}
+	c.drop(f)
+	return nil
+}
+
+// answer takes the answer out of the stream, if it is whole.
+func (c *flowCaller) answer(f *callerEnd) (*http.Response, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	end := bytes.Index(f.end.stream, []byte("\r\n\r\n"))
+	if end < 0 {
+		return nil, false
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(f.end.stream)), nil)
+	if err != nil {
+		return nil, false
+	}
+	defer resp.Body.Close()
+	size := end + 4 + int(max(resp.ContentLength, 0))
+	if len(f.end.stream) < size {
+		return nil, false
+	}
+	body, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode == http.StatusOK && string(body) != c.line.Service {
+		c.all.note(func(r *FlowResult) { r.Crossed++ })
+	}
+	f.target = resp.Header.Get(headerTarget)
+	f.end.stream = f.end.stream[size:]
+	return resp, true
+}
+
+// wait waits until something came for f, and reports false at the end.
+func (c *flowCaller) wait(ctx context.Context, f *callerEnd, end time.Time) bool {
+	t := time.NewTimer(time.Until(end))
+	defer t.Stop()
+	select {
+	case <-f.changed:
+		return true
+	case <-t.C:
+		return false
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// drop ends a flow.
+func (c *flowCaller) drop(f *callerEnd) {
+	if f == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if f.open && !f.failed {
+		f.end.write(time.Now(), nil, true)
+	}
+	delete(c.flows, f.end.local.Port())
+}
+
+func (c *flowCaller) tick(ctx context.Context) {
+	for platform.Sleep(ctx, callerTick) == nil {
+		c.mu.Lock()
+		for _, f := range c.flows {
+			if f.open && !f.end.tick(time.Now()) {
+				f.failed = true
+				f.signal()
+			}
+		}
+		c.mu.Unlock()
+	}
+}
+
+func (f *callerEnd) signal() {
+	select {
+	case f.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (c *flowCaller) read() {
+	b := make([]byte, maxDatagram)
+	for {
+		n, _, err := c.conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		s, ok := decodeSegment(bytes.Clone(b[:n]))
+		if !ok {
+			c.all.note(func(r *FlowResult) { r.Forged++ })
+			continue
+		}
+		c.mu.Lock()
+		if f := c.flows[s.to.Port()]; f != nil && s.from == f.end.remote {
+			c.take(f, s)
+		}
+		c.mu.Unlock()
+	}
+}
+
+// take takes in a packet of a flow. The caller holds mu.
+func (c *flowCaller) take(f *callerEnd, s segment) {
+	defer f.signal()
+	switch {
+	case s.has(segRst) && !s.genuine:
+		// A host's own reset.
+		if f.open && !f.failed && len(s.data) == 0 {
+			target := f.target
+			c.all.note(func(r *FlowResult) { r.Resets = append(r.Resets, FlowReset{Target: target, At: time.Now()}) })
+		}
+		f.failed = true
+	case !s.genuine:
+		c.all.note(func(r *FlowResult) { r.Forged++ })
+	case s.has(segRst):
+		f.failed = true
+	case s.has(segSyn | segAck):
+		if !f.open && s.ack == f.seq+1 {
+			f.open = true
+			f.end.got, f.end.acked, f.end.echo = s.seq+1, s.ack, s.echo
+			f.end.send(segment{flags: segAck, seq: f.end.next})
+		}
+	case f.open:
+		f.end.receive(time.Now(), s)
+	}
+}
+
+// out sends a segment by way of the router.
+func (c *flowCaller) out(s segment) {
+	_, _ = c.conn.WriteToUDPAddrPort(s.encode(0), c.all.cfg.Router.pick(s.from, s.to))
+}
--- /dev/null
+++ b/fake/flowworld.go
@@ -0,0 +1,216 @@
+package fake
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"wisteriaweir/platform"
+)
+
+// FlowWorldConfig says what stands round a system of hosts.
+type FlowWorldConfig struct {
+	// Net is the first two bytes of all addresses.
+	Net [2]byte
+	// Port is the port of packets.
+	Port uint16
+	// Store is the URL of the store.
+	Store   string
+	Domains []string
+	// Targets is the number of targets of the first service; the second has a
+	// third of them.
+	Targets int
+	Hosts   []RouterHost
+	Callers int
+	Seed    uint64
+	// Behind returns where a target listens whose entry names at; nil means there.
+	Behind func(at netip.AddrPort) netip.AddrPort
+}
+
+// Services of a FlowWorld and the ports of their routes.
+const (
+	worldDesk   = "levy-desk"
+	worldIntake = "ledger-intake"
+	portFeed    = 8443
+	portAmend   = 8080
+	portUpload  = 9443
+)
+
+// FlowWorld is the targets, routers and callers round a system of hosts, and the
+// operator who writes the first configuration.
+type FlowWorld struct {
+	cfg     FlowWorldConfig
+	store   *platform.Store
+	Router  *Router
+	Callers *FlowCallers
+
+	mu      sync.Mutex
+	targets map[string]*WorldTarget
+	made    int
+	version int
+	extra   int
+}
+
+// WorldTarget is a target with what ends it.
+type WorldTarget struct {
+	*FlowTarget
+	Stop func()
+	// Ended is when it was stopped, Drained when it was told to leave.
+	Ended, Drained time.Time
+}
+
+// NewFlowWorld returns a world.
+func NewFlowWorld(cfg FlowWorldConfig) *FlowWorld {
+	w := &FlowWorld{
+		cfg:     cfg,
+		store:   platform.NewStore(platform.StoreConfig{URL: cfg.Store}),
+		Router:  NewRouter(cfg.Hosts),
+		targets: map[string]*WorldTarget{},
+	}
+	vip := w.address(8, 1)
+	w.Callers = NewFlowCallers(FlowCallerConfig{
+		First: w.address(4, 1), Count: cfg.Callers, Port: cfg.Port, Router: w.Router, Seed: cfg.Seed,
+		Lines: []Line{
+			{Service: worldDesk, At: netip.AddrPortFrom(vip, portFeed), Long: true, Safe: true, Deadline: 2 * time.Second},
+			{Service: worldDesk, At: netip.AddrPortFrom(vip, portAmend), Size: 900, Deadline: 2 * time.Second},
+			{Service: worldIntake, At: netip.AddrPortFrom(vip, portUpload), Size: 40000, Deadline: 5 * time.Second},
+		},
+	})
+	return w
+}
+
+func (w *FlowWorld) address(c, d int) netip.Addr {
+	return netip.AddrFrom4([4]byte{w.cfg.Net[0], w.cfg.Net[1], byte(c), byte(d)})
+}
+
+// Configure writes the next version of the configuration.
+func (w *FlowWorld) Configure(ctx context.Context) error {
+	w.mu.Lock()
+	w.version += 1 + w.version%3
+	w.extra++
+	version, extra := w.version, w.extra
+	w.mu.Unlock()
+	vip := w.address(8, 1).String()
+	routes := []map[string]any{
+		routeSpec("feed", vip, portFeed, "safe", worldDesk),
+		routeSpec("amend", vip, portAmend, "unsafe", worldDesk),
+		routeSpec("upload", vip, portUpload, "upload", worldIntake),
+		routeSpec(fmt.Sprintf("extra-%d", extra), vip, 10000+extra, "safe", worldDesk),
+	}
+	return w.store.Set(ctx, platform.KindConfig, platform.ConfigName, map[string]any{
+		"version": version, "routes": routes, "limits": map[string]any{"idle_timeout_ms": 15000},
+	})
+}
+
+func routeSpec(name, host string, port int, kind, service string) map[string]any {
+	return map[string]any{
+		"name": name, "host": host, "path_prefix": fmt.Sprintf("/%d/", port), "type": kind, "service": service,
+		"timeout_ms": 2000, "target_latency_ms": 200, "priority": 1,
+	}
+}
+
+// AddTargets starts the first targets.
+func (w *FlowWorld) AddTargets(ctx context.Context) error {
+	for i := range w.cfg.Targets {
+		if err := w.AddTarget(ctx, worldDesk, w.cfg.Domains[i%len(w.cfg.Domains)]); err != nil {
+			return err
+		}
+		if i%3 == 0 {
+			if err := w.AddTarget(ctx, worldIntake, w.cfg.Domains[i%len(w.cfg.Domains)]); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// AddTarget starts one target.
+func (w *FlowWorld) AddTarget(ctx context.Context, service, domain string) error {
+	w.mu.Lock()
+	w.made++
+	n := w.made
+	w.mu.Unlock()
+	id, number := TargetName(n)
+	cfg := FlowTargetConfig{
+		ID: id, Number: number, Service: service, Domain: domain, CallerPort: w.cfg.Port, Slots: 2,
+		At: netip.AddrPortFrom(w.address(2, n), 9000), Work: 15 * time.Millisecond, Store: w.store, Seed: w.cfg.Seed + uint64(n),
+	}
+	if w.cfg.Behind != nil {
+		cfg.Listen = w.cfg.Behind(cfg.At)
+	}
+	t, err := NewFlowTarget(cfg)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		t.Run(ctx)
+		close(done)
+	}()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.targets[id] = &WorldTarget{FlowTarget: t, Stop: func() { stop(); <-done }}
+	return nil
+}
+
+// Targets returns the targets by their names, also those that ended.
+func (w *FlowWorld) Targets() map[string]*WorldTarget {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	targets := make(map[string]*WorldTarget, len(w.targets))
+	for id, t := range w.targets {
+		targets[id] = t
+	}
+	return targets
+}
+
+// Verdict is what a run broke of the promises.
+type Verdict struct {
+	FlowResult
+	// Doubled counts requests that ran more than once, or ran although the caller
+	// was told that they had not. Cut counts open flows that a host reset while
+	// their target was alive.
+	Doubled, Cut int
+	// Foreign and ForgedAtTargets count packets that reached a target that they were
+	// not for, or that no end wrote.
+	Foreign, ForgedAtTargets int
+}
+
+// Verdict sums up what callers and targets saw.
+func (w *FlowWorld) Verdict() Verdict {
+	v := Verdict{FlowResult: w.Callers.Result()}
+	targets := w.Targets()
+	runs := map[string]int{}
+	for _, t := range targets {
+		s := t.Stats()
+		v.ForgedAtTargets += s.Forged
+		for id, n := range s.Runs {
+			runs[id] += n
+		}
+	}
+	for id, told := range v.Told {
+		if runs[id] > 1 || runs[id] > 0 && told == "not run" {
+			v.Doubled++
+		}
+	}
+	for _, r := range v.Resets {
+		if t := targets[r.Target]; t != nil && (t.Ended.IsZero() || r.At.Before(t.Ended)) {
+			v.Cut++
+		}
+	}
+	return v
+}
+
+// String returns the verdict as one line.
+func (v Verdict) String() string {
+	return fmt.Sprintf("requests=%d answered=%d refused=%d failed=%d late=%d doubled=%d crossed=%d cut=%d forged=%d resets=%d",
+		v.Requests, v.Answered, v.Refused, v.Failed, v.Late, v.Doubled, v.Crossed, v.Cut, v.Forged+int64(v.ForgedAtTargets), len(v.Resets))
+}
+
+// Broken reports whether a promise was broken.
+func (v Verdict) Broken() bool {
+	return v.Doubled+v.Cut+v.ForgedAtTargets > 0 || v.Crossed+v.Forged > 0
+}
--- a/reader/codec_test.go
+++ b/reader/codec_test.go
@@ -107,7 +107,10 @@
 func FuzzDecode(f *testing.F) {
 	e := reader.NewEncoder(self, 1)
 	for _, n := range []reader.Note{
-		reader.Hello{}, reader.Beat{Routes: 1}, reader.Ask{}, reader.Load{Load: placement.Load{Dead: []uint32{8}}},
+		reader.Hello{},
+		reader.Beat{Routes: 1},
+		reader.Ask{},
+		reader.Load{Load: placement.Load{Dead: []uint32{8}}},
 		reader.Content{Revision: 1, Full: true, Targets: someTargets(2)},
 	} {
 		datagrams, err := e.Encode(n)
--- a/reader/fleet_test.go
+++ b/reader/fleet_test.go
@@ -33,7 +33,6 @@
 	// the store's last answer.
 	seen    uint64
 	heardAt time.Duration
-	behind  time.Duration
 }
 
 // parcel is a note under way.
