Log each decision on a flow, show metrics and a dump

Cause: an on-call engineer had only lines on targets; nothing told where a flow went and why. Counters and histograms, health and dump on the port that the deploy file names.

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
@@ -25,6 +28,10 @@
 				Name: "settings", Usage: "settings file that the platform writes",
 				Sources: cli.EnvVars(platform.BootVariable), Required: true,
 			},
+			&cli.IntFlag{
+				Name: "monitor-port", Usage: "TCP port of metrics, health and dump, 0 for none", Value: 0,
+				Sources: cli.EnvVars("WISTERIAWEIR_MONITOR_PORT"),
+			},
 			&cli.StringFlag{
 				Name: "log-level", Usage: "debug, info, warn or error", Value: "info",
 				Sources: cli.EnvVars("WISTERIAWEIR_LOG_LEVEL"),
@@ -38,6 +45,13 @@
 	}
 }
 
+const (
+	// logLines is the number of log lines that may wait for a slow reader, logFlush
+	// the time for them at the end.
+	logLines = 2048
+	logFlush = 200 * time.Millisecond
+)
+
 // heapGrowth is how far the heap may grow between two collections, in percent of
 // what is live. Hosts are small and a collection is cheap.
 const heapGrowth = 25
@@ -48,18 +62,29 @@
 	if err != nil {
 		return err
 	}
-	logger, err := monitor.NewLogger(cmd.String("log-level"), cmd.String("log-format"), os.Stdout)
+	port := cmd.Int("monitor-port")
+	if port < 0 || port > 65535 {
+		return usage(fmt.Sprintf("--monitor-port is %d, a port from 0 to 65535 is needed", port))
+	}
+	lines := monitor.NewLineWriter(os.Stdout, logLines)
+	defer lines.Close(logFlush)
+	logger, err := monitor.NewLogger(cmd.String("log-level"), cmd.String("log-format"), lines)
 	if err != nil {
 		return err
 	}
 	ctx, stop := untilSignal(ctx)
 	defer stop()
-	h, err := host.New(host.Config{
-		Boot:     boot,
-		BootPath: cmd.String("settings"),
-		Log:      logger.WithField("host", boot.Name),
-		Seed:     rand.Uint64(),
-	})
+	cfg := host.Config{
+		Boot:      boot,
+		BootPath:  cmd.String("settings"),
+		Log:       logger.WithField("host", boot.Name),
+		Seed:      rand.Uint64(),
+		LinesLeft: lines.Left,
+	}
+	if port > 0 {
+		cfg.Monitor = netip.AddrPortFrom(boot.IP, uint16(port))
+	}
+	h, err := host.New(cfg)
 	if err != nil {
 		return err
 	}
--- a/host/control.go
+++ b/host/control.go
@@ -82,6 +82,7 @@
 		encoder: reader.NewEncoder(self, uint64(h.started.UnixNano())),
 		conn:    conn,
 	}
+	h.control = c
 	notes := make(chan heard, noteQueue)
 	members := make(chan []reader.Member)
 	go h.hear(ctx, conn, notes)
@@ -116,6 +117,11 @@
 			}
 		case <-pace:
 			c.drain()
+		case read := <-c.h.inspectMembers:
+			read()
+		}
+		if at, ok := c.core.Confirmed(); ok {
+			c.h.confirmed.Store(int64(at))
 		}
 		pace = nil
 		if len(c.outbox) > 0 {
--- a/host/forward.go
+++ b/host/forward.go
@@ -48,6 +48,7 @@
 	seen *catalog.Catalog
 	// started says that flows can be placed.
 	started bool
+	lines   flowLog
 	// toldAt is when the load was last handed on, toldEmpty whether it was nothing.
 	toldAt    time.Duration
 	toldEmpty bool
@@ -59,13 +60,16 @@
 	if err := h.conn.SetReadBuffer(socketBuffer); err != nil {
 		h.log.WithError(err).Warn("host: receive buffer not set")
 	}
-	f := &forwarder{h: h, in: make([]byte, platform.PrefixSize+platform.MaxPacket+1)}
+	f := &forwarder{h: h, seen: h.current.Load(), in: make([]byte, platform.PrefixSize+platform.MaxPacket+1)}
 	f.core = placement.New(placement.Config{
 		Domain:   h.cfg.Boot.Domain,
 		Seed:     h.cfg.Seed,
 		MaxFlows: int(h.cfg.Boot.Memory / flowShare / flowMemory),
 		Observe:  f.logTarget,
+
+		ObserveFlow: f.observeFlow,
 	})
+	h.forwarder = f
 	h.awaitCatalog(ctx)
 	for ctx.Err() == nil {
 		f.hearNeighbours()
@@ -92,6 +96,8 @@
 		case n := <-f.h.neighbours:
 			f.core.SetNeighbour(f.h.now(), n.name, n.load)
 			f.perform()
+		case read := <-f.h.inspectFlows:
+			read()
 		default:
 			return
 		}
--- a/host/host.go
+++ b/host/host.go
@@ -17,6 +17,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +40,11 @@
 	Log      log.Interface
 	// Seed seeds the choice between equal targets.
 	Seed uint64
+	// Monitor is the address of metrics, health and dump; an invalid one means none.
+	Monitor netip.AddrPort
+	// LinesLeft returns the number of log lines that were left out; nil means that
+	// none can be.
+	LinesLeft func() int64
 }
 
 // Host is one entry host.
@@ -51,6 +57,14 @@
 	metrics *metrics.Set
 	count   *counters
 
+	// forwarder and control are owned by a goroutine each; others read them by way
+	// of inspectFlows and inspectMembers.
+	forwarder      *forwarder
+	control        *control
+	inspectFlows   chan func()
+	inspectMembers chan func()
+	// confirmed is the time of the store's last word on what is believed.
+	confirmed atomic.Int64
 	// findings are what the store answered, for the control goroutine.
 	findings chan reader.Content
 	// loads are what this host's flows show, neighbours what those of the others
@@ -90,11 +104,15 @@
 		count:    newCounters(set),
 		findings: make(chan reader.Content),
 
+		inspectFlows:   make(chan func()),
+		inspectMembers: make(chan func()),
+
 		loads:      make(chan placement.Load, 1),
 		neighbours: make(chan neighbourLoad, neighbourQueue),
 	}
 	h.store = platform.NewStore(platform.StoreConfig{URL: "http://" + cfg.Boot.Store.String(), Observe: h.count.call})
 	h.current.Store(&catalog.Catalog{})
+	h.gauges()
 	return h, nil
 }
 
@@ -113,6 +131,7 @@
 	defer stop()
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return h.serveReady(work) })
+	g.Go(func() error { return h.serveMonitor(work) })
 	g.Go(func() error { return h.believe(work) })
 	g.Go(func() error { return h.forward(work) })
 	g.Go(func() error {
--- a/host/ready.go
+++ b/host/ready.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"wisteriaweir/monitor"
 )
 
 const (
@@ -44,6 +46,23 @@
 	return nil
 }
 
+// serveMonitor shows metrics, health and a dump.
+func (h *Host) serveMonitor(ctx context.Context) error {
+	if !h.cfg.Monitor.IsValid() {
+		return nil
+	}
+	srv := monitor.NewServer(monitor.Config{Address: h.cfg.Monitor, Metrics: h.metrics, Dump: h.dump, Log: h.log})
+	if err := srv.Start(); err != nil {
+		h.log.WithError(err).Error("host: no monitor")
+		return nil
+	}
+	<-ctx.Done()
+	if err := srv.Close(); err != nil {
+		h.log.WithError(err).Warn("host: monitor not closed")
+	}
+	return nil
+}
+
 func (h *Host) answerReady(w http.ResponseWriter, _ *http.Request) {
 	if h.leaving.Load() || !h.current.Load().Complete() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- /dev/null
+++ b/monitor/line_test.go
@@ -0,0 +1,43 @@
+package monitor_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wisteriaweir/monitor"
+)
+
+// TestLineWriterStuck holds that a reader that stops delays nobody, and that what
+// is left out is counted.
+func TestLineWriterStuck(t *testing.T) {
+	r, w := io.Pipe()
+	l := monitor.NewLineWriter(w, 10)
+	start := time.Now()
+	for i := range 1000 {
+		fmt.Fprintf(l, "line %d\n", i)
+	}
+	qt.Assert(t, time.Since(start) < time.Second, qt.IsTrue)
+	qt.Assert(t, l.Left() >= 988, qt.IsTrue, qt.Commentf("%d left out", l.Left()))
+	l.Close(10 * time.Millisecond)
+	qt.Assert(t, r.Close(), qt.IsNil)
+}
+
+// TestLineWriterOrder holds that lines come whole and in order.
+func TestLineWriterOrder(t *testing.T) {
+	var got, want bytes.Buffer
+	l := monitor.NewLineWriter(&got, 1000)
+	for i := range 500 {
+		line := fmt.Sprintf("line %d\n", i)
+		want.WriteString(line)
+		_, err := l.Write([]byte(line))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	l.Close(time.Second)
+	qt.Assert(t, got.String(), qt.Equals, want.String())
+	qt.Assert(t, l.Left(), qt.Equals, int64(0))
+}
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -128,6 +128,7 @@
 
 // reset ends an open flow whose target is dead.
 func (c *Core) reset(f *flow) {
+	c.notifyFlow(FlowNotice{Event: FlowReset, Flow: f.key, Target: f.target, Reason: DeadTarget})
 	c.emit(Reset{Flow: f.key, Acked: f.acked, Reason: DeadTarget, Target: f.target})
 	c.drop(f)
 }
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -106,6 +106,7 @@
 		f.kind = r.Kind
 	}
 	c.add(f)
+	c.notifyFlow(FlowNotice{Event: FlowTaken, Flow: f.key, Target: t})
 	return f
 }
 
@@ -153,6 +154,7 @@
 		f.target.opening--
 		f.acked = p.Acked
 		progress = true
+		c.notifyFlow(FlowNotice{Event: FlowAnswered, Flow: f.key, Target: f.target, Took: now - f.opened})
 	}
 	if packet.After(p.Acked, f.acked) {
 		f.acked = p.Acked
--- a/placement/opening.go
+++ b/placement/opening.go
@@ -64,6 +64,7 @@
 	if t == nil || t == f.target {
 		return
 	}
+	c.notifyFlow(FlowNotice{Event: FlowReplaced, Flow: f.key, Target: t})
 	c.move(f, t)
 	f.targets++
 	f.sent = now
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -89,6 +89,9 @@
 	// Observe is called for each change of what is believed of a target, if it is
 	// set. It must not block.
 	Observe func(Notice)
+	// ObserveFlow is called for each decision on a flow, if it is set. It must not
+	// block.
+	ObserveFlow func(FlowNotice)
 }
 
 // Core places flows.
@@ -163,11 +166,11 @@
 func (c *Core) handleOpen(now time.Duration, p packet.Packet, datagram []byte) Decision {
 	r, ok := c.catalog.Routes().Lookup(route.Address{IP: p.Flow.ServiceIP, Port: p.Flow.ServicePort})
 	if !ok {
-		return Reject{Reason: NoRoute}
+		return c.reject(p, NoRoute)
 	}
 	f := c.flows[p.Flow]
 	if f != nil && f.seq == p.Seq && p.Copies > 0 {
-		return c.handleCopy(now, f, r)
+		return c.handleCopy(now, p, f, r)
 	}
 	if f != nil {
 		c.drop(f)
@@ -175,11 +178,12 @@
 	service := r.Pick(c.rnd.Float64())
 	t := c.choose(now, service, nil)
 	if t == nil {
-		return Reject{Reason: NoTarget}
+		return c.reject(p, NoTarget)
 	}
 	if len(c.flows) >= c.cfg.MaxFlows {
-		return Reject{Reason: Full}
+		return c.reject(p, Full)
 	}
+	c.notifyFlow(FlowNotice{Event: FlowPlaced, Flow: p.Flow, Target: t, Copies: p.Copies})
 	f = c.open(now, p, t, r.Kind)
 	f.service = service
 	f.datagram = append([]byte(nil), datagram...)
@@ -187,9 +191,15 @@
 	return Forward{To: t}
 }
 
+// reject answers an opening packet by a reset.
+func (c *Core) reject(p packet.Packet, reason Reason) Decision {
+	c.notifyFlow(FlowNotice{Event: FlowRejected, Flow: p.Flow, Reason: reason, Copies: p.Copies})
+	return Reject{Reason: reason}
+}
+
 // handleCopy sends the copy of an opening packet to another target if the one
 // that has it did not answer.
-func (c *Core) handleCopy(now time.Duration, f *flow, r route.Route) Decision {
+func (c *Core) handleCopy(now time.Duration, p packet.Packet, f *flow, r route.Route) Decision {
 	c.stall(now, f)
 	f.urgency = late
 	if !r.Allows(f.service) {
@@ -198,8 +208,9 @@
 	t := c.choose(now, f.service, f.target)
 	if t == nil {
 		c.drop(f)
-		return Reject{Reason: NoTarget}
+		return c.reject(p, NoTarget)
 	}
+	c.notifyFlow(FlowNotice{Event: FlowReplaced, Flow: p.Flow, Target: t, Copies: p.Copies})
 	c.move(f, t)
 	f.sent = now
 	f.targets = 1
@@ -234,6 +245,7 @@
 // a repetition of what the target has not acknowledged.
 func (c *Core) handleRequest(now time.Duration, f *flow, p packet.Packet, datagram []byte) Decision {
 	if f.target.dead && f.kind == route.Safe {
+		c.notifyFlow(FlowNotice{Event: FlowReset, Flow: f.key, Target: f.target, Reason: DeadTarget})
 		c.drop(f)
 		return Reject{Reason: DeadTarget}
 	}
--- a/placement/progress.go
+++ b/placement/progress.go
@@ -47,6 +47,7 @@
 func (c *Core) finish(now time.Duration, f *flow) {
 	if f.busy {
 		took := now - f.asked
+		c.notifyFlow(FlowNotice{Event: RequestDone, Flow: f.key, Target: f.target, Took: took})
 		c.answerMean += time.Duration(answerShare * float64(took-c.answerMean))
 	}
 	f.asking = false
--- a/placement/waiting.go
+++ b/placement/waiting.go
@@ -40,6 +40,7 @@
 // held is a request that waits for its target.
 type held struct {
 	f         *flow
+	at        time.Duration
 	until     time.Duration
 	datagrams [][]byte
 }
@@ -115,7 +116,7 @@
 
 // hold keeps the first packet of a request until its target has room.
 func (c *Core) hold(now time.Duration, f *flow, datagram []byte) {
-	h := &held{f: f, until: now + holdMost, datagrams: [][]byte{append([]byte(nil), datagram...)}}
+	h := &held{f: f, at: now, until: now + holdMost, datagrams: [][]byte{append([]byte(nil), datagram...)}}
 	if f.urgency != timely {
 		h.until = now + holdMostLate
 	}
@@ -145,6 +146,7 @@
 // let sends a request that waited.
 func (c *Core) let(now time.Duration, h *held) {
 	f := h.f
+	c.notifyFlow(FlowNotice{Event: RequestWaited, Flow: f.key, Target: f.target, Took: now - h.at})
 	f.held = nil
 	f.sent = now
 	c.begin(now, f)
--- a/reader/duty.go
+++ b/reader/duty.go
@@ -113,18 +113,16 @@
 	return better, others, idle
 }
 
-// Fresh reports whether a reader, or this host itself, has heard the store
-// lately.
-func (c *Core) Fresh(now time.Duration) bool {
-	if c.answered && now-c.storeAt < staleReader {
-		return true
-	}
+// Confirmed returns when the store last answered this host or a reader that it
+// hears, and whether it ever did.
+func (c *Core) Confirmed() (time.Duration, bool) {
+	at, ok := c.storeAt, c.answered
 	for _, p := range c.peers {
-		if c.reads(now, p) {
-			return true
+		if p.heard && p.beat.Reading && (!ok || p.heardAt-p.beat.Age > at) {
+			at, ok = p.heardAt-p.beat.Age, true
 		}
 	}
-	return false
+	return at, ok
 }
 
 // Neighbours returns the other known hosts of this host's failure domain.
