Tell verdicts on targets to all hosts that share readers

Change: a new verdict goes to all hosts of the group once, and counts for 1.5 s; one own stall is enough beside it.

--- a/host/control.go
+++ b/host/control.go
@@ -4,11 +4,13 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/apex/log"
 
 	"wisteriaweir/catalog"
+	"wisteriaweir/placement"
 	"wisteriaweir/platform"
 	"wisteriaweir/reader"
 )
@@ -45,6 +47,8 @@
 	core    *reader.Core
 	encoder *reader.Encoder
 	conn    *net.UDPConn
+	// dead are the stamps of the targets that this host last called dead.
+	dead []uint32
 	// outbox holds datagrams of large contents, which go out at a pace that leaves
 	// the link to the packets.
 	outbox []outgoing
@@ -105,7 +109,7 @@
 		case n := <-notes:
 			c.hear(n)
 		case l := <-c.h.loads:
-			c.tellDomain(reader.Load{Load: l})
+			c.tellLoad(l)
 		case n := <-c.h.findings:
 			c.perform(c.core.Found(c.h.now(), n))
 		case m := <-members:
@@ -143,16 +147,28 @@
 		return
 	}
 	select {
-	case c.h.neighbours <- neighbourLoad{name: n.from.Name, load: l.Load}:
+	case c.h.neighbours <- neighbourLoad{name: n.from.Name, near: n.from.Domain == c.h.cfg.Boot.Domain, load: l.Load}:
 	default:
 		c.h.count.noteDropped.Inc()
 	}
 }
 
-// tellDomain tells a note to the other hosts of the failure domain.
-func (c *control) tellDomain(n reader.Note) {
+// tellLoad tells the load to the other hosts of the failure domain, and verdicts
+// that are new to all hosts that share readers.
+func (c *control) tellLoad(l placement.Load) {
 	for _, m := range c.core.Neighbours() {
-		c.tell(reader.Tell{To: m, Note: n})
+		c.tell(reader.Tell{To: m, Note: reader.Load{Load: l}})
+	}
+	slices.Sort(l.Dead)
+	news := len(l.Dead) > 0 && !slices.Equal(l.Dead, c.dead)
+	c.dead = l.Dead
+	if !news {
+		return
+	}
+	for _, m := range c.core.Group() {
+		if m.Domain != c.h.cfg.Boot.Domain {
+			c.tell(reader.Tell{To: m, Note: reader.Load{Load: placement.Load{Dead: l.Dead}}})
+		}
 	}
 }
 
--- a/host/forward.go
+++ b/host/forward.go
@@ -94,7 +94,11 @@
 	for {
 		select {
 		case n := <-f.h.neighbours:
-			f.core.SetNeighbour(f.h.now(), n.name, n.load)
+			if n.near {
+				f.core.SetNeighbour(f.h.now(), n.name, n.load)
+			} else {
+				f.core.SetVerdicts(f.h.now(), n.load.Dead)
+			}
 			f.perform()
 		case read := <-f.h.inspectFlows:
 			read()
@@ -109,7 +113,7 @@
 func (f *forwarder) tellLoad() {
 	peers := int(f.h.domainPeers.Load())
 	now := f.h.now()
-	if peers == 0 || now-f.toldAt < loadFirst+time.Duration(peers)*loadEach {
+	if now-f.toldAt < loadFirst+time.Duration(peers)*loadEach {
 		return
 	}
 	l := f.core.Load()
--- a/host/host.go
+++ b/host/host.go
@@ -82,9 +82,11 @@
 // neighbourQueue is the number of words of neighbours that may wait.
 const neighbourQueue = 64
 
-// neighbourLoad is the word of another host of the failure domain.
+// neighbourLoad is the word of another host; near says that it is of the same
+// failure domain.
 type neighbourLoad struct {
 	name string
+	near bool
 	load placement.Load
 }
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -50,7 +50,7 @@
 		return -1
 	case t.Draining:
 		return 3
-	case t.suspect(now) || t.deadElsewhere:
+	case t.suspect(now) || t.deadTold(now):
 		return 2
 	case t == avoid:
 		return 1
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -51,7 +51,7 @@
 		t.stalled = 0
 		t.round++
 	}
-	t.suspectUntil = 0
+	t.suspectUntil, t.deadToldUntil = 0, 0
 	if t.dead {
 		t.dead = false
 		c.notify(TargetAlive, t)
@@ -94,7 +94,7 @@
 	if c.alive.within(now, judgeSpan) < c.stalls.within(now, judgeSpan) {
 		return false
 	}
-	if t.gone || t.deadElsewhere {
+	if t.gone || t.deadTold(now) {
 		return t.stalled > 0
 	}
 	return t.stalled >= deadStalls
--- a/placement/neighbour.go
+++ b/placement/neighbour.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// neighbourLife is the age above which the word of a neighbour no longer counts.
-const neighbourLife = 600 * time.Millisecond
+const (
+	// neighbourLife is the age above which the load that a neighbour told no longer
+	// counts.
+	neighbourLife = 600 * time.Millisecond
+	// verdictLife is the same for its word that a target is dead.
+	verdictLife = 1500 * time.Millisecond
+)
 
 // Load is what the flows of one host show of the targets.
 type Load struct {
@@ -42,9 +47,10 @@
 	return l
 }
 
-// SetNeighbour takes in the word of another host.
+// SetNeighbour takes in the word of another host of the failure domain.
 func (c *Core) SetNeighbour(now time.Duration, name string, l Load) {
 	c.neighbours[name] = neighbour{load: l, at: now}
+	c.SetVerdicts(now, l.Dead)
 	c.addNeighbours(now)
 	for _, t := range c.order {
 		if t.waiting.size() > 0 {
@@ -53,10 +59,25 @@
 	}
 }
 
+// SetVerdicts takes in the stamps of the targets that another host has found
+// dead.
+func (c *Core) SetVerdicts(now time.Duration, dead []uint32) {
+	for _, stamp := range dead {
+		if t := c.byStamp[stamp]; t != nil {
+			t.deadToldUntil = now + verdictLife
+		}
+	}
+}
+
+// deadTold reports whether another host has lately found the target dead.
+func (t *Target) deadTold(now time.Duration) bool {
+	return now < t.deadToldUntil
+}
+
 // addNeighbours sums up what the neighbours said lately.
 func (c *Core) addNeighbours(now time.Duration) {
 	for _, t := range c.order {
-		t.others, t.deadElsewhere = TargetLoad{}, false
+		t.others = TargetLoad{}
 	}
 	for name, n := range c.neighbours {
 		if now-n.at > neighbourLife {
@@ -69,10 +90,5 @@
 				t.others.Queued += tl.Queued
 			}
 		}
-		for _, stamp := range n.load.Dead {
-			if t := c.byStamp[stamp]; t != nil {
-				t.deadElsewhere = true
-			}
-		}
 	}
 }
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -98,7 +98,7 @@
 		s.State = "dead"
 	case t.gone:
 		s.State = "gone"
-	case t.suspect(now) || t.deadElsewhere:
+	case t.suspect(now) || t.deadTold(now):
 		s.State = "suspect"
 	case t.Draining:
 		s.State = "draining"
--- a/placement/target.go
+++ b/placement/target.go
@@ -35,10 +35,10 @@
 	drainingAt time.Duration
 	// collides says that an older target has the same stamp.
 	collides bool
-	// others is the load that the neighbours add, deadElsewhere says that one of
-	// them has found the target dead.
+	// others is the load that the neighbours add, deadToldUntil the end of the time
+	// for which the word of another host that the target is dead counts.
 	others        TargetLoad
-	deadElsewhere bool
+	deadToldUntil time.Duration
 	waiting       waitingRoom
 	evidence
 }
--- a/reader/duty.go
+++ b/reader/duty.go
@@ -37,6 +37,11 @@
 	return rank(members)
 }
 
+// Group returns the other hosts that share readers with this one.
+func (c *Core) Group() []Member {
+	return slices.DeleteFunc(c.group(), func(m Member) bool { return m.Name == c.cfg.Self.Name })
+}
+
 // reads reports whether a peer is a reader whose word is fresh.
 func (c *Core) reads(now time.Duration, p *peer) bool {
 	return p.heard && p.beat.Reading && now-p.heardAt < silentReader && p.beat.Age+now-p.heardAt < staleReader
