--- a/cmd_fakeflows.go
+++ b/cmd_fakeflows.go
@@ -22,6 +22,11 @@
 	return "a promise was broken: " + e.Verdict.String()
 }
 
+// ExitCode is that of a broken promise.
+func (e *BrokenPromiseError) ExitCode() int {
+	return exitBroken
+}
+
 // fakeFlowsCommand stands in for what is round a system of entry hosts.
 func fakeFlowsCommand() *cli.Command {
 	return &cli.Command{
--- a/tls_test.go
+++ b/tls_test.go
@@ -53,14 +53,14 @@
 	}
 }
 
-// replace renames a whole file over path, as docs/OPERATE.md says.
+// replace renames a whole file over path, as docs/OPERATIONS.md says.
 func replace(c *qt.C, path string, content []byte) {
 	c.Assert(os.WriteFile(path+".new", content, 0o600), qt.IsNil)
 	c.Assert(os.Rename(path+".new", path), qt.IsNil)
 }
 
 // TestKeysRotateUnderLoad changes authority, certificate, key and hop key of
-// four balancers without a restart, in the steps of docs/OPERATE.md; then the
+// four balancers without a restart, in the steps of docs/OPERATIONS.md; then the
 // former keys are refused. Its processes take the keys from the environment, so
 // it doesn't run in parallel with other tests.
 func TestKeysRotateUnderLoad(t *testing.T) {
