Soak real host processes with faults from outside

Change: package soak and a command: hosts as processes, the store and the targets behind proxies; signals, restarts, pauses, a store that is silent, reset, slow, deaf, down or without history, targets that go dark, are cut off, lose packets or are replaced, new configurations, in series and overlapping, drawn from a seed. Checked: at most once, whole answers, no reset of a calm target's flow, drains, exits, and that all is served once the trouble is over.

--- /dev/null
+++ b/cmd_soak.go
@@ -0,0 +1,88 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"wisteriaweir/soak"
+)
+
+// SoakError says which promises did not hold in a run.
+type SoakError struct {
+	Seeds []uint64
+}
+
+func (e *SoakError) Error() string {
+	return fmt.Sprintf("soak: promises broken with the seeds %v", e.Seeds)
+}
+
+// ExitCode is that of a broken promise.
+func (e *SoakError) ExitCode() int {
+	return exitBroken
+}
+
+// soakCommand runs hosts as processes and makes trouble from outside them.
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run hosts as processes among stand-ins, make trouble, and check the promises",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
+			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one after the other"},
+			&cli.DurationFlag{Name: "length", Value: 25 * time.Second, Usage: "time of the load of each seed"},
+			&cli.IntFlag{Name: "hosts", Value: 6, Usage: "number of hosts, in two failure domains"},
+			&cli.IntFlag{Name: "targets", Value: 9, Usage: "targets of the first service; the second has a third of them"},
+			&cli.IntFlag{Name: "callers", Value: 6, Usage: "callers of each kind of request"},
+			&cli.IntFlag{Name: "block", Value: 40, Usage: "second byte of all addresses, 127.BLOCK.x.y"},
+			&cli.StringFlag{Name: "logs", Value: "run/soak", Usage: "directory of settings and logs"},
+			&cli.BoolFlag{Name: "verbose", Usage: "print each fault"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, cmd *cli.Command) error {
+	ctx, stop := untilSignal(ctx)
+	defer stop()
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	if cmd.Int("hosts") < 2 || cmd.Int("hosts") > 200 || cmd.Int("targets") < 6 || cmd.Int("targets") > 120 {
+		return usage("2 to 200 --hosts and 6 to 120 --targets are needed")
+	}
+	failed := &SoakError{}
+	for i := range cmd.Int("seeds") {
+		seed := cmd.Uint64("seed") + uint64(i)
+		dir, err := soak.MakeDir(cmd.String("logs"), seed)
+		if err != nil {
+			return err
+		}
+		cfg := soak.Config{
+			Seed: seed, Program: program, Hosts: cmd.Int("hosts"), Targets: cmd.Int("targets"), Callers: cmd.Int("callers"),
+			Length: cmd.Duration("length"), Block: byte(cmd.Int("block")), Dir: dir,
+		}
+		if cmd.Bool("verbose") {
+			cfg.Log = func(line string) { fmt.Fprintln(os.Stderr, line) }
+		}
+		r, err := soak.Run(ctx, cfg)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(os.Stdout, "seed=%d steps=%d broken=%d %s\n", seed, len(r.Steps), len(r.Broken), r.Verdict)
+		for _, b := range r.Broken {
+			fmt.Fprintln(os.Stdout, "  "+b)
+		}
+		if len(r.Broken) > 0 {
+			failed.Seeds = append(failed.Seeds, seed)
+		}
+	}
+	if len(failed.Seeds) > 0 {
+		return failed
+	}
+	return nil
+}
--- a/commands.go
+++ b/commands.go
@@ -32,6 +32,7 @@
 		dumpCommand(),
 		measureCommand(),
 		fakeCommand(),
+		soakCommand(),
 	}
 }
 
--- a/fake/flowcaller.go
+++ b/fake/flowcaller.go
@@ -73,6 +73,8 @@
 type FlowReset struct {
 	Target string
 	At     time.Time
+	// From is the address of the host that sent it.
+	From netip.AddrPort
 }
 
 // FlowCallerConfig configures FlowCallers.
@@ -401,7 +403,7 @@
 func (c *flowCaller) read() {
 	b := make([]byte, maxDatagram)
 	for {
-		n, _, err := c.conn.ReadFromUDPAddrPort(b)
+		n, from, err := c.conn.ReadFromUDPAddrPort(b)
 		if err != nil {
 			return
 		}
@@ -412,21 +414,23 @@
 		}
 		c.mu.Lock()
 		if f := c.flows[s.to.Port()]; f != nil && s.from == f.end.remote {
-			c.take(f, s)
+			c.take(f, s, from)
 		}
 		c.mu.Unlock()
 	}
 }
 
 // take takes in a packet of a flow. The caller holds mu.
-func (c *flowCaller) take(f *callerEnd, s segment) {
+func (c *flowCaller) take(f *callerEnd, s segment, from netip.AddrPort) {
 	defer f.signal()
 	switch {
 	case s.has(segRst) && !s.genuine:
 		// A host's own reset.
 		if f.open && !f.failed && len(s.data) == 0 {
 			target := f.target
-			c.all.note(func(r *FlowResult) { r.Resets = append(r.Resets, FlowReset{Target: target, At: time.Now()}) })
+			c.all.note(func(r *FlowResult) {
+				r.Resets = append(r.Resets, FlowReset{Target: target, At: time.Now(), From: from})
+			})
 		}
 		f.failed = true
 	case !s.genuine:
--- a/fake/flowtarget.go
+++ b/fake/flowtarget.go
@@ -72,8 +72,9 @@
 type FlowTargetStats struct {
 	// Runs counts, for each request, how often it ran.
 	Runs map[string]int
-	// Opened is when flows were last opened.
-	Opened time.Time
+	// Opened is when a flow was last opened, Accepted when an opening packet was
+	// last answered.
+	Opened, Accepted time.Time
 	// Foreign counts packets for another target, Forged those that no end wrote,
 	// Unknown those of flows that the target does not hold.
 	Foreign, Forged, Unknown int
@@ -123,6 +124,18 @@
 	t.draining = true
 }
 
+// ID returns the name of the target.
+func (t *FlowTarget) ID() string { return t.cfg.ID }
+
+// Service returns the service of the target.
+func (t *FlowTarget) Service() string { return t.cfg.Service }
+
+// Domain returns the failure domain of the target.
+func (t *FlowTarget) Domain() string { return t.cfg.Domain }
+
+// At returns the address that the target's entry names.
+func (t *FlowTarget) At() netip.AddrPort { return t.cfg.At }
+
 // Stats returns what the target has seen.
 func (t *FlowTarget) Stats() FlowTargetStats {
 	t.mu.Lock()
@@ -220,6 +233,7 @@
 		t.flows[s.from] = f
 	}
 	f.last = now
+	t.stats.Accepted = now
 	f.end.echo = s.echo
 	t.out(segment{echo: s.echo, flags: segSyn | segAck, to: s.from, from: s.to, seq: f.end.next - 1, ack: f.end.got})
 }
--- a/fake/flowworld.go
+++ b/fake/flowworld.go
@@ -156,6 +156,22 @@
 	return nil
 }
 
+// Drain tells a target to announce that it leaves.
+func (w *FlowWorld) Drain(t *WorldTarget) {
+	w.mu.Lock()
+	t.Drained = time.Now()
+	w.mu.Unlock()
+	t.FlowTarget.Drain()
+}
+
+// End stops a target without a word to anybody.
+func (w *FlowWorld) End(t *WorldTarget) {
+	t.Stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	t.Ended = time.Now()
+}
+
 // Targets returns the targets by their names, also those that ended.
 func (w *FlowWorld) Targets() map[string]*WorldTarget {
 	w.mu.Lock()
--- /dev/null
+++ b/soak/process.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Ports of each host.
+const (
+	portPackets = 7400
+	portReady   = 7401
+	portNotes   = 7410
+	portStore   = 7200
+)
+
+// process is one host as a process of its own. Only processes started here are
+// ever signalled, by their ids.
+type process struct {
+	name, program, dir string
+	conf               string
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// done is closed when the process has ended, wanted says that its end was.
+	done   chan struct{}
+	wanted bool
+	// paused says that it is stopped by a signal.
+	paused bool
+	// calmAt is the end of the last trouble made.
+	calmAt time.Time
+	// ends are the processes that ended without an order, as complaints.
+	ends []string
+}
+
+// writeConf writes the settings of a host as the platform does.
+func writeConf(path, name, domain string, ip netip.Addr, store string, first bool) error {
+	text := fmt.Sprintf(`node_name=%s
+zone=%s
+ip=%s
+listen.datagram_addr=%s:%d
+listen.ready=%s:%d
+internal_ports=%d,%d
+bootstrap=%v
+limits.memory_mb=284
+bounds.grace_s=6
+platform.address=%s
+`, name, domain, ip, ip, portPackets, ip, portReady, portNotes, portNotes+5, first, store)
+	return os.WriteFile(path, []byte(text), 0o644)
+}
+
+func (p *process) start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	cmd := exec.Command(p.program, "host", "--settings", p.conf)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		_ = out.Close()
+		return err
+	}
+	done := make(chan struct{})
+	p.cmd, p.done, p.wanted, p.paused = cmd, done, false, false
+	p.calmAt = time.Now()
+	go func() {
+		err := cmd.Wait()
+		_ = out.Close()
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.cmd == cmd && !p.wanted {
+			p.ends = append(p.ends, fmt.Sprintf("%s ended by itself: %v", p.name, err))
+		}
+		close(done)
+	}()
+	return nil
+}
+
+// signal sends a signal. An order to end is remembered.
+func (p *process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch s {
+	case syscall.SIGKILL, syscall.SIGTERM:
+		p.wanted = true
+	case syscall.SIGSTOP:
+		p.paused = true
+	case syscall.SIGCONT:
+		p.paused = false
+	}
+	p.calmAt = time.Now()
+	_ = p.cmd.Process.Signal(s)
+}
+
+// ended returns a channel that is closed at the end of the process.
+func (p *process) ended() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done
+}
+
+// disturbed reports whether the process was in trouble at any time from since
+// on.
+func (p *process) disturbed(since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paused || p.calmAt.After(since)
+}
+
+// exitCode returns the exit code of the ended process.
+func (p *process) exitCode() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.ProcessState.ExitCode()
+}
