--- /dev/null
+++ b/fake/flowresult.go
@@ -0,0 +1,32 @@
+package fake
+
+import (
+	"net/netip"
+	"time"
+)
+
+// FlowResult is what callers saw.
+type FlowResult struct {
+	// Requests is the number of requests, Answered of those that were answered
+	// with success, Refused of those that were told not to have run, Failed of the
+	// others.
+	Requests, Answered, Refused, Failed int64
+	// Late counts answers after half of the deadline.
+	Late int64
+	// Crossed counts answers that belong to another request or service, Forged
+	// packets that no end wrote.
+	Crossed, Forged int64
+	// Resets holds the resets of open flows that hosts sent.
+	Resets []FlowReset
+	// IDs are the requests that may run at most once, by whether a success or a
+	// refusal was told.
+	Told map[string]string
+}
+
+// FlowReset is a reset of an open flow by a host.
+type FlowReset struct {
+	Target string
+	At     time.Time
+	// From is the address of the host that sent it.
+	From netip.AddrPort
+}
--- /dev/null
+++ b/fake/platform_watch.go
@@ -0,0 +1,65 @@
+package fake
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// watch answers when the kind has changed behind a revision.
+func (p *Platform) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("watch"), 10, 64)
+	ms, err2 := strconv.Atoi(q.Get("wait_ms"))
+	if err != nil || err2 != nil || ms < 0 {
+		http.Error(w, "watch and wait_ms must be numbers", http.StatusBadRequest)
+		return
+	}
+	end := time.NewTimer(min(time.Duration(ms)*time.Millisecond, maxWatch))
+	defer end.Stop()
+	for {
+		events, revision, changed, gone, expired := p.since(r.PathValue("kind"), after)
+		if gone {
+			http.Error(w, "history is gone", http.StatusGone)
+			return
+		}
+		if len(events) > 0 || expired {
+			p.answerWatch(w, events, revision)
+			return
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			p.answerWatch(w, nil, revision)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) answerWatch(w http.ResponseWriter, events []change, revision uint64) {
+	if events == nil {
+		events = []change{}
+	}
+	writeJSON(w, http.StatusOK, struct {
+		Events   []change `json:"events"`
+		Revision uint64   `json:"store_revision"`
+	}{events, revision})
+}
+
+// since returns the changes of a kind behind a revision, and what a watch needs
+// to know besides.
+func (p *Platform) since(kind string, after uint64) (events []change, revision uint64, changed chan struct{}, gone, expired bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if after < p.forgotten || after == 0 {
+		return nil, p.revision, p.changed, true, false
+	}
+	for _, c := range p.history {
+		if c.Kind == kind && c.Object.Meta.Revision > after {
+			events = append(events, c)
+		}
+	}
+	return events, p.revision, p.changed, false, p.faults.Expire
+}
--- /dev/null
+++ b/fake/platform_write.go
@@ -0,0 +1,146 @@
+package fake
+
+import (
+	"encoding/json"
+	"io"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// write is the body of a call that creates or replaces an object.
+type write struct {
+	Meta struct {
+		Name       string   `json:"name"`
+		Revision   uint64   `json:"revision"`
+		Finalizers []string `json:"finalizers"`
+	} `json:"meta"`
+	Spec json.RawMessage `json:"spec"`
+}
+
+func readWrite(w http.ResponseWriter, r *http.Request) (write, bool) {
+	var b write
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
+	if err != nil {
+		http.Error(w, "object is too large or broken off", http.StatusRequestEntityTooLarge)
+		return b, false
+	}
+	if err := json.Unmarshal(body, &b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return b, false
+	}
+	return b, true
+}
+
+func (p *Platform) create(w http.ResponseWriter, r *http.Request) {
+	b, ok := readWrite(w, r)
+	if !ok {
+		return
+	}
+	kind := r.PathValue("kind")
+	if b.Meta.Name == "" || strings.Contains(b.Meta.Name, "/") {
+		http.Error(w, "meta.name is missing", http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if s := p.objects[kind][b.Meta.Name]; s != nil {
+		writeJSON(w, http.StatusConflict, s.now)
+		return
+	}
+	s := &stored{}
+	if p.objects[kind] == nil {
+		p.objects[kind] = map[string]*stored{}
+	}
+	p.objects[kind][b.Meta.Name] = s
+	p.store(kind, s, object{Meta: meta{Name: b.Meta.Name, Finalizers: b.Meta.Finalizers}, Spec: b.Spec})
+	writeJSON(w, http.StatusOK, s.now)
+}
+
+func (p *Platform) replace(w http.ResponseWriter, r *http.Request) {
+	b, ok := readWrite(w, r)
+	if !ok {
+		return
+	}
+	kind, name := r.PathValue("kind"), r.PathValue("name")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.objects[kind][name]
+	switch {
+	case s == nil:
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	case b.Meta.Revision != 0 && b.Meta.Revision != s.now.Meta.Revision:
+		writeJSON(w, http.StatusConflict, s.now)
+		return
+	}
+	s.heard = time.Now()
+	if !sameSpec(kind, s.now.Spec, b.Spec) {
+		o := s.now
+		o.Spec = b.Spec
+		p.store(kind, s, o)
+	}
+	writeJSON(w, http.StatusOK, s.now)
+}
+
+// sameSpec reports whether a write changes nothing. The count of a target's
+// heartbeats is no change.
+func sameSpec(kind string, a, b json.RawMessage) bool {
+	if kind != targetsKind {
+		return string(a) == string(b)
+	}
+	var x, y map[string]json.RawMessage
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
+		return false
+	}
+	delete(x, "sequence")
+	delete(y, "sequence")
+	return maps.EqualFunc(x, y, func(a, b json.RawMessage) bool { return string(a) == string(b) })
+}
+
+// store makes o the newest state of s. The caller holds mu.
+func (p *Platform) store(kind string, s *stored, o object) {
+	now := time.Now()
+	p.revision++
+	o.Meta.Revision = p.revision
+	if o.Meta.Created == 0 {
+		o.Meta.Created = p.revision
+	}
+	if now.Sub(s.since) >= p.cfg.HostLag || kind != membersKind {
+		s.old = s.now
+	}
+	s.now, s.since, s.heard = o, now, now
+	p.note(change{Kind: kind, Object: o})
+	if p.cfg.Record != nil {
+		if own, ok := ownObject(kind, o); ok {
+			p.cfg.Record(own)
+		}
+	}
+}
+
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.objects[r.PathValue("kind")][r.PathValue("name")]
+	if s == nil {
+		http.Error(w, "no such object", http.StatusNotFound)
+		return
+	}
+	if q := r.URL.Query().Get("revision"); q != "" && q != strconv.FormatUint(s.now.Meta.Revision, 10) {
+		writeJSON(w, http.StatusConflict, s.now)
+		return
+	}
+	p.delete(r.PathValue("kind"), s)
+	writeJSON(w, http.StatusOK, s.now)
+}
+
+// delete removes an object. The caller holds mu.
+func (p *Platform) delete(kind string, s *stored) {
+	p.revision++
+	o := s.now
+	o.Meta.Revision = p.revision
+	delete(p.objects[kind], o.Meta.Name)
+	p.note(change{Kind: kind, Object: o, Deleted: true})
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -66,6 +66,7 @@
 	world   *fake.FlowWorld
 	hosts   []*process
 	proxies []*tcpProxy
+	server  *http.Server
 	wg      sync.WaitGroup
 
 	mu     sync.Mutex
@@ -119,7 +120,7 @@
 	srv := &http.Server{Handler: r.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = srv.Serve(l) }()
 	go r.store.Run(r.ctx)
-	context.AfterFunc(r.ctx, func() { _ = srv.Close() })
+	r.server = srv
 	var hosts []fake.RouterHost
 	for i := range r.cfg.Hosts {
 		h, err := r.addHost(i, at)
@@ -317,6 +318,9 @@
 		h.signal(syscall.SIGKILL)
 		<-h.ended()
 	}
+	if r.server != nil {
+		_ = r.server.Close()
+	}
 	for _, p := range r.proxies {
 		_ = p.listener.Close()
 	}
