Judge targets only when this host is not behind with its packets

A host that lags by more than 150 ms handles a caller's repetition before the acknowledgement that waits behind it. Change: a stall counts only if all packets that had come were handled at some time 100 ms or more after the data was forwarded, which a read that finds nothing tells.

--- a/cmd_soak.go
+++ b/cmd_soak.go
@@ -33,7 +33,7 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Usage: "number of seeds, one after the other"},
-			&cli.DurationFlag{Name: "length", Value: 25 * time.Second, Usage: "time of the load of each seed"},
+			&cli.DurationFlag{Name: "length", Value: 30 * time.Second, Usage: "time of the load of each seed"},
 			&cli.IntFlag{Name: "hosts", Value: 6, Usage: "number of hosts, in two failure domains"},
 			&cli.IntFlag{Name: "targets", Value: 9, Usage: "targets of the first service; the second has a third of them"},
 			&cli.IntFlag{Name: "callers", Value: 6, Usage: "callers of each kind of request"},
--- a/fake/flowworld.go
+++ b/fake/flowworld.go
@@ -51,6 +51,34 @@
 	made    int
 	version int
 	extra   int
+	// free are the addresses of targets that ended, with the time of their end.
+	free []freeAddress
+}
+
+// freeAddress is an address that another target may get.
+type freeAddress struct {
+	at      netip.AddrPort
+	service string
+	since   time.Time
+}
+
+// reuseAfter is the time after which the address of a target that ended may go to
+// one of another service.
+const reuseAfter = 2 * time.Second
+
+// nextAddress returns the number and the address of the next target of a
+// service: that of a target of another service, if one has ended.
+func (w *FlowWorld) nextAddress(service string) (int, netip.AddrPort) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.made++
+	for i, f := range w.free {
+		if f.service != service && time.Since(f.since) > reuseAfter {
+			w.free = append(w.free[:i], w.free[i+1:]...)
+			return w.made, f.at
+		}
+	}
+	return w.made, netip.AddrPortFrom(w.address(2, w.made), 9000)
 }
 
 // WorldTarget is a target with what ends it.
@@ -85,13 +113,12 @@
 	return netip.AddrFrom4([4]byte{w.cfg.Net[0], w.cfg.Net[1], byte(c), byte(d)})
 }
 
-// Configure writes the next version of the configuration.
+// Configure writes the next version of the configuration. Each has a route that
+// the one before had not, and lacks that one's.
 func (w *FlowWorld) Configure(ctx context.Context) error {
 	w.mu.Lock()
-	w.version += 1 + w.version%3
-	w.extra++
-	version, extra := w.version, w.extra
-	w.mu.Unlock()
+	defer w.mu.Unlock()
+	version, extra := w.version+1+w.version%3, w.extra+1
 	vip := w.address(8, 1).String()
 	routes := []map[string]any{
 		routeSpec("feed", vip, portFeed, "safe", worldDesk),
@@ -99,9 +126,13 @@
 		routeSpec("upload", vip, portUpload, "upload", worldIntake),
 		routeSpec(fmt.Sprintf("extra-%d", extra), vip, 10000+extra, "safe", worldDesk),
 	}
-	return w.store.Set(ctx, platform.KindConfig, platform.ConfigName, map[string]any{
+	err := w.store.Set(ctx, platform.KindConfig, platform.ConfigName, map[string]any{
 		"version": version, "routes": routes, "limits": map[string]any{"idle_timeout_ms": 15000},
 	})
+	if err == nil {
+		w.version, w.extra = version, extra
+	}
+	return err
 }
 
 func routeSpec(name, host string, port int, kind, service string) map[string]any {
@@ -128,14 +159,11 @@
 
 // AddTarget starts one target.
 func (w *FlowWorld) AddTarget(ctx context.Context, service, domain string) error {
-	w.mu.Lock()
-	w.made++
-	n := w.made
-	w.mu.Unlock()
+	n, at := w.nextAddress(service)
 	id, number := TargetName(n)
 	cfg := FlowTargetConfig{
 		ID: id, Number: number, Service: service, Domain: domain, CallerPort: w.cfg.Port, Slots: 2,
-		At: netip.AddrPortFrom(w.address(2, n), 9000), Work: 15 * time.Millisecond, Store: w.store, Seed: w.cfg.Seed + uint64(n),
+		At: at, Work: 15 * time.Millisecond, Store: w.store, Seed: w.cfg.Seed + uint64(n),
 	}
 	if w.cfg.Behind != nil {
 		cfg.Listen = w.cfg.Behind(cfg.At)
@@ -170,6 +198,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	t.Ended = time.Now()
+	w.free = append(w.free, freeAddress{at: t.cfg.At, service: t.cfg.Service, since: t.Ended})
 }
 
 // Targets returns the targets by their names, also those that ended.
--- /dev/null
+++ b/fake/probe.go
@@ -0,0 +1,63 @@
+package fake
+
+import (
+	"net"
+	"net/netip"
+	"time"
+)
+
+// Probe is what became of an opening packet that went straight to one host.
+type Probe string
+
+// Outcomes of a probe.
+const (
+	ProbeAccepted Probe = "accepted by a target"
+	ProbeReset    Probe = "reset by the host"
+	ProbeSilent   Probe = "not answered"
+)
+
+// ProbeRoute sends an opening packet for an address straight to a host, from a
+// caller's address of its own, and returns what came back within a time.
+func (w *FlowWorld) ProbeRoute(host netip.AddrPort, port uint16, wait time.Duration) (Probe, error) {
+	local := w.address(7, 1)
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(local, w.cfg.Port)))
+	if err != nil {
+		return "", err
+	}
+	defer conn.Close()
+	from := netip.AddrPortFrom(local, uint16(time.Now().UnixNano()%60000+1024))
+	s := segment{flags: segSyn, from: from, to: netip.AddrPortFrom(w.address(8, 1), port), seq: 5}
+	if _, err := conn.WriteToUDPAddrPort(s.encode(0), host); err != nil {
+		return "", err
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return "", err
+	}
+	b := make([]byte, maxDatagram)
+	for {
+		n, _, err := conn.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return ProbeSilent, nil
+		}
+		got, ok := decodeSegment(b[:n])
+		switch {
+		case !ok || got.to != from:
+		case got.has(segRst):
+			return ProbeReset, nil
+		case got.has(segSyn | segAck):
+			return ProbeAccepted, nil
+		}
+	}
+}
+
+// NewestRoute returns the port of the route that the newest configuration added,
+// and the one that it took away, 0 if there is none.
+func (w *FlowWorld) NewestRoute() (added, removed uint16) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	added = uint16(10000 + w.extra)
+	if w.extra > 1 {
+		removed = added - 1
+	}
+	return added, removed
+}
--- a/host/forward.go
+++ b/host/forward.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/apex/log"
@@ -52,6 +53,13 @@
 	// toldAt is when the load was last handed on, toldEmpty whether it was nothing.
 	toldAt    time.Duration
 	toldEmpty bool
+
+	// raw is the socket of the packets, tryRead the method read; size and failure
+	// are what it found.
+	raw     syscall.RawConn
+	tryRead func(fd uintptr) bool
+	size    int
+	failure error
 }
 
 // forward reads packets and sends them on until ctx ends.
@@ -70,6 +78,11 @@
 		ObserveFlow: f.observeFlow,
 	})
 	h.forwarder = f
+	raw, err := h.conn.SyscallConn()
+	if err != nil {
+		return &StartError{Part: "packets", Address: h.cfg.Boot.Packets.String(), Err: err}
+	}
+	f.raw, f.tryRead = raw, f.read
 	h.awaitCatalog(ctx)
 	for ctx.Err() == nil {
 		f.hearNeighbours()
@@ -134,7 +147,7 @@
 	if err := f.h.conn.SetReadDeadline(time.Now().Add(f.wait())); err != nil {
 		return err
 	}
-	n, _, err := f.h.conn.ReadFromUDPAddrPort(f.in[platform.PrefixSize:])
+	n, err := f.receive()
 	now := f.h.now()
 	if current := f.h.current.Load(); current != f.seen {
 		f.takeCatalog(now, current)
@@ -142,8 +155,6 @@
 	var timeout net.Error
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
-		f.core.Tick(now)
-		f.perform()
 		return nil
 	case errors.Is(err, net.ErrClosed):
 		return err
@@ -162,6 +173,32 @@
 	return nil
 }
 
+// receive reads one datagram behind the room for the prefix and returns its
+// size. Each time that it finds none, all that came before is handled, and what
+// is due is done.
+func (f *forwarder) receive() (int, error) {
+	f.size, f.failure = 0, nil
+	if err := f.raw.Read(f.tryRead); err != nil {
+		return 0, err
+	}
+	return f.size, f.failure
+}
+
+// read tries to read from the socket, and reports whether it had something.
+func (f *forwarder) read(fd uintptr) bool {
+	f.size, f.failure = syscall.Read(int(fd), f.in[platform.PrefixSize:])
+	if f.failure != syscall.EAGAIN {
+		return true
+	}
+	now := f.h.now()
+	f.core.Drained(now)
+	if next, ok := f.core.Next(); ok && next <= now {
+		f.core.Tick(now)
+		f.perform()
+	}
+	return false
+}
+
 // takeCatalog makes a catalog the one that packets follow.
 func (f *forwarder) takeCatalog(now time.Duration, c *catalog.Catalog) {
 	if !f.started && c.Complete() {
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -12,6 +12,10 @@
 	// repeatAfter is the least time after which a caller sends again what was not
 	// acknowledged; sooner repetitions are packets that overtook each other.
 	repeatAfter = 150 * time.Millisecond
+	// answerWithin is the time after which an answer's sign should have come. Unless
+	// all packets were handled at some time after it, a sign may still be waiting in
+	// the socket: this host is slow, not the target.
+	answerWithin = 100 * time.Millisecond
 	// suspectFor is how long a target gets no new flows after a flow stalled on it.
 	suspectFor = time.Second
 	// deadStalls is the number of flows that have to stall on a target, with no
@@ -59,10 +63,11 @@
 }
 
 // stall notes that a flow got nothing back for what was forwarded, unless it
-// was forwarded just now or the target has answered others since.
+// was forwarded just now, the target has answered others since, or this host is
+// behind with its packets.
 func (c *Core) stall(now time.Duration, f *flow) {
 	t := f.target
-	if now-f.sent < repeatAfter || t.progressAt > f.sent {
+	if now-f.sent < repeatAfter || t.progressAt > f.sent || c.drainedAt < f.sent+answerWithin {
 		return
 	}
 	if f.stalledIn != t.round+1 {
--- a/placement/opening.go
+++ b/placement/opening.go
@@ -37,10 +37,17 @@
 	return at, ok
 }
 
+// Drained says that all packets that had come by a time are handled. Stalls count
+// only when this was so after the answer should have come.
+func (c *Core) Drained(now time.Duration) {
+	c.drainedAt = now
+}
+
 // Tick sends opening packets that are overdue to other targets, and requests
 // that have waited for long enough. It must be called when no packet waits to be
 // handled: an answer may be among them.
 func (c *Core) Tick(now time.Duration) {
+	c.Drained(now)
 	c.expire(now)
 	c.releaseOverdue(now)
 	n := 0
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -104,7 +104,8 @@
 //	rest C          data of a request that is longer than one packet
 //	stray C STAMP   data with a stamp of its own
 //	others N NAME=BUSY/QUEUED ... [dead=NAME]    the word of a neighbour
-//	wait TIME       time passes, in steps of 10 ms
+//	wait TIME       time passes, in steps of 10 ms, with no packet waiting
+//	busy TIME       time passes, with packets waiting all the while
 func (r *runner) line(cmd string, args []string) error {
 	switch cmd {
 	case "routes":
@@ -115,6 +116,10 @@
 		return r.others(args)
 	case "wait":
 		return r.wait(args[0])
+	case "busy":
+		d, err := time.ParseDuration(args[0])
+		r.now += d
+		return err
 	case "open":
 		return r.open(args[0], args[1])
 	}
--- a/soak/check.go
+++ b/soak/check.go
@@ -11,12 +11,16 @@
 
 const (
 	// calmFor is how long a part has to have been calm to be held to a bound.
-	calmFor = 4 * time.Second
+	calmFor = 3500 * time.Millisecond
 	// settleFor is the time after the last fault in which all has to be well again.
 	settleFor = 4 * time.Second
+	// probeWait is the time for the answer to an opening packet.
+	probeWait = time.Second
 	// drainBound is the time after which a target that leaves gets no new flow: that
 	// of the promise, the way through the store and the target's own beat.
 	drainBound = 3*time.Second + 400*time.Millisecond
+	// drainWatch is how long the last target that leaves is watched after the bound.
+	drainWatch = 1500 * time.Millisecond
 	// calmShare is the part of the requests of the calm end that have to be
 	// answered.
 	calmShare = 0.99
@@ -26,7 +30,33 @@
 // then.
 func (r *run) atCalm(ctx context.Context) fake.FlowResult {
 	_ = platform.Sleep(ctx, settleFor)
-	return r.world.Callers.Result()
+	before := r.world.Callers.Result()
+	r.checkRoutes()
+	if t := r.victim(0); t != nil {
+		r.replace(t)
+		r.world.Drain(t)
+		_ = platform.Sleep(ctx, drainBound+drainWatch)
+	}
+	return before
+}
+
+// checkRoutes holds that every host follows the newest configuration.
+func (r *run) checkRoutes() {
+	added, removed := r.world.NewestRoute()
+	for i, h := range r.hosts {
+		at := netip.AddrPortFrom(r.ip(3, i+1), portPackets)
+		r.checkRoute(h.name, at, added, fake.ProbeAccepted)
+		if removed != 0 {
+			r.checkRoute(h.name, at, removed, fake.ProbeReset)
+		}
+	}
+}
+
+func (r *run) checkRoute(name string, at netip.AddrPort, port uint16, want fake.Probe) {
+	got, err := r.world.ProbeRoute(at, port, probeWait)
+	if err != nil || got != want {
+		r.complain("%s: a flow to port %d is %s, not %s (%v)", name, port, got, want, err)
+	}
 }
 
 // check holds the run to the promises.
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -55,7 +55,7 @@
 	// quietStart and quietEnd are kept free of faults: the start of the load, and
 	// the time in which everything has to be well again.
 	quietStart = 2 * time.Second
-	quietEnd   = 9 * time.Second
+	quietEnd   = 14 * time.Second
 	// faultLeast and faultMost bound how long a fault lasts.
 	faultLeast = 200 * time.Millisecond
 	faultMost  = 3 * time.Second
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -180,6 +180,12 @@
 // front puts a proxy at the address of a target's entry and returns where the
 // target listens.
 func (r *run) front(at netip.AddrPort) netip.AddrPort {
+	r.mu.Lock()
+	old := r.fronts[at]
+	r.mu.Unlock()
+	if old != nil {
+		return old.to // The address is used again.
+	}
 	ip := at.Addr().As4()
 	ip[2] = 6
 	to := netip.AddrPortFrom(netip.AddrFrom4(ip), at.Port())
