Number contents by their newest change, and answer each asker once

Change: changes and tables carry the revision of the newest change, the same for all readers; a list that brings nothing new moves nothing; a newer full answer takes the place of one that waits for the same host; asks are 400 ms apart.

--- a/host/control.go
+++ b/host/control.go
@@ -57,10 +57,37 @@
 	outbox []outgoing
 }
 
-// outgoing is a datagram for another host.
+// outgoing is a datagram for another host. Kind is the kind of the content that
+// it is a part of.
 type outgoing struct {
-	to netip.AddrPort
-	b  []byte
+	to   netip.AddrPort
+	kind contentKind
+	b    []byte
+}
+
+// contentKind tells apart contents of which a newer one makes an older one
+// needless.
+type contentKind int
+
+const (
+	noContent contentKind = iota
+	allRoutes
+	allTargets
+	changes
+)
+
+func kindOf(n reader.Note) contentKind {
+	c, ok := n.(reader.Content)
+	switch {
+	case !ok:
+		return noContent
+	case c.Routes != nil:
+		return allRoutes
+	case c.Full:
+		return allTargets
+	default:
+		return changes
+	}
 }
 
 // listenNotes opens the socket on which the other hosts are heard.
@@ -194,13 +221,16 @@
 		c.h.log.WithError(err).Error("host: note not encoded")
 		return
 	}
+	kind := kindOf(t.Note)
+	if len(datagrams) == 1 {
+		c.send(outgoing{to: t.To.At, b: datagrams[0]})
+		return
+	}
+	if kind == allRoutes || kind == allTargets {
+		c.outbox = slices.DeleteFunc(c.outbox, func(o outgoing) bool { return o.to == t.To.At && o.kind == kind })
+	}
 	for _, b := range datagrams {
-		o := outgoing{to: t.To.At, b: b}
-		if len(datagrams) > 1 {
-			c.outbox = append(c.outbox, o)
-			continue
-		}
-		c.send(o)
+		c.outbox = append(c.outbox, outgoing{to: t.To.At, kind: kind, b: b})
 	}
 }
 
--- a/host/reading.go
+++ b/host/reading.go
@@ -139,17 +139,19 @@
 	return n, nil
 }
 
-// watch waits for changes of the kind.
+// watch waits for changes of the kind. The revision of what it returns is that of
+// the newest change, the same for all that read it.
 func (f *feed) watch(ctx context.Context) (reader.Content, error) {
 	events, next, err := f.h.store.Watch(ctx, f.kind, f.revision, watchWait)
 	if err != nil {
 		return reader.Content{}, err
 	}
 	f.revision = max(next, f.revision)
-	n := reader.Content{Revision: next}
+	n := reader.Content{}
 	newest := map[string]platform.Event{}
 	for _, e := range events {
 		newest[e.Record.Name] = e
+		n.Revision = max(n.Revision, e.Record.Revision)
 	}
 	for _, e := range newest {
 		if f.kind == platform.KindConfig {
@@ -189,5 +191,5 @@
 	for _, err := range left {
 		f.h.log.WithError(err).Warn("host: route not used")
 	}
-	n.Routes = &t
+	n.Routes, n.Revision = &t, r.Revision
 }
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -168,8 +168,12 @@
 	}
 	before := c.catalog
 	n.From = before.TargetsRevision()
+	short := shorten(before, n)
+	if short.RouteChanges == nil && short.Routes == nil && !short.Full && len(short.Changes) == 0 {
+		return nil // A list that brought nothing new.
+	}
 	if c.apply(n) && c.reading {
-		c.tellGroup(shorten(before, n))
+		c.tellGroup(short)
 	}
 	return c.take()
 }
--- a/reader/spread.go
+++ b/reader/spread.go
@@ -7,8 +7,9 @@
 )
 
 // askEvery is the least time between two asks. A change is told right before
-// the beat that names its revision, so most gaps close by themselves.
-const askEvery = 120 * time.Millisecond
+// the beat that names its revision, so most gaps close by themselves; an answer to
+// many takes its time.
+const askEvery = 400 * time.Millisecond
 
 // askIfBehind asks a peer for what it has and this host has not.
 func (c *Core) askIfBehind(now time.Duration, p *peer) {
