Let targets whose entries lapsed in an outage go on for two seconds

Change: an entry that goes within 4 s of an outage (the store's last word older than 2.5 s) without a drain keeps its target eligible for 2 s, unless the flows show that it is dead; a single stall is no verdict on it meanwhile.

--- a/host/forward.go
+++ b/host/forward.go
@@ -19,6 +19,8 @@
 const (
 	// socketBuffer is the size of the packets' receive buffer in bytes.
 	socketBuffer = 1 << 20
+	// outageAge is the age of the store's last word at which it counts as away.
+	outageAge = 2500 * time.Millisecond
 	// idleTick bounds the time for which the packet goroutine waits for a packet.
 	idleTick = 250 * time.Millisecond
 	// leastWait is the shortest wait for a packet. It lets packets that are there
@@ -149,6 +151,9 @@
 	}
 	n, err := f.receive()
 	now := f.h.now()
+	if f.h.age(now) > outageAge {
+		f.core.SetOutage(now)
+	}
 	if current := f.h.current.Load(); current != f.seen {
 		f.takeCatalog(now, current)
 	}
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -46,6 +46,8 @@
 // is none of a lower class, negative ones never.
 func (c *Core) rank(now time.Duration, t *Target, avoid *Target) int {
 	switch {
+	case t.gone && !t.mayReturn(now):
+		return -1
 	case t.Draining && now-t.drainingAt > drainingSpare:
 		return -1
 	case t.Draining:
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -99,7 +99,7 @@
 	if c.alive.within(now, judgeSpan) < c.stalls.within(now, judgeSpan) {
 		return false
 	}
-	if t.gone || t.deadTold(now) {
+	if t.gone && !t.mayReturn(now) || t.deadTold(now) {
 		return t.stalled > 0
 	}
 	return t.stalled >= deadStalls
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -13,6 +13,7 @@
 const (
 	TargetNew      Event = "target new"
 	TargetGone     Event = "target gone"
+	TargetBack     Event = "target back"
 	TargetDraining Event = "target draining"
 	TargetCollides Event = "target stamp collides"
 	TargetSuspect  Event = "target suspect"
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -122,6 +122,9 @@
 	// readyAt is when flows could first be placed.
 	readyAt time.Duration
 	ready   bool
+	// outageAt is when the store was last away, outage whether it ever was.
+	outageAt time.Duration
+	outage   bool
 	// drainedAt is when all packets that had come were last handled.
 	drainedAt time.Duration
 	// alive and stalls are the signs of life and the stalls of all targets.
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -105,6 +105,7 @@
 //	stray C STAMP   data with a stamp of its own
 //	others N NAME=BUSY/QUEUED ... [dead=NAME]    the word of a neighbour
 //	wait TIME       time passes, in steps of 10 ms, with no packet waiting
+//	outage          the store is away just now
 //	busy TIME       time passes, with packets waiting all the while
 func (r *runner) line(cmd string, args []string) error {
 	switch cmd {
@@ -116,6 +117,9 @@
 		return r.others(args)
 	case "wait":
 		return r.wait(args[0])
+	case "outage":
+		r.core.SetOutage(r.now)
+		return nil
 	case "busy":
 		d, err := time.ParseDuration(args[0])
 		r.now += d
--- a/placement/target.go
+++ b/placement/target.go
@@ -11,6 +11,14 @@
 	"wisteriaweir/catalog"
 )
 
+const (
+	// outageLinger is how long after an outage of the store entries that are missing
+	// may have lapsed in it.
+	outageLinger = 4 * time.Second
+	// lapseGrace is the time in which the entry of a target that lives comes back.
+	lapseGrace = 2 * time.Second
+)
+
 // goneLinger is how long a target that left the catalog is remembered for the
 // flows that it still has. No flow has to be kept longer.
 const goneLinger = 60 * time.Second
@@ -31,6 +39,8 @@
 	// gone is set while the target is not in the catalog, since goneAt.
 	gone   bool
 	goneAt time.Duration
+	// lapsed says that the entry may have gone only since the store was away.
+	lapsed bool
 	// drainingAt is when the target was first seen draining.
 	drainingAt time.Duration
 	// collides says that an older target has the same stamp.
@@ -43,6 +53,12 @@
 	evidence
 }
 
+// mayReturn reports whether the entry of a target that is gone may have lapsed
+// and come back.
+func (t *Target) mayReturn(now time.Duration) bool {
+	return t.lapsed && now-t.goneAt < lapseGrace
+}
+
 // StampOf returns the stamp of a target: a hash of its identity, never 0.
 func StampOf(id string) uint32 {
 	h := uint32(xxhash.Sum64String(id))
@@ -65,12 +81,20 @@
 	for _, t := range c.order {
 		if _, ok := cat.Target(t.ID); !ok && !t.gone {
 			t.gone, t.goneAt = true, now
+			t.lapsed = !t.Draining && c.outage && now-c.outageAt < outageLinger
 			c.notify(TargetGone, t)
 		}
 	}
 	c.index()
 }
 
+// SetOutage says that the store is away at a time. Entries that go with it may
+// come back: their targets go on taking flows for a while, unless the flows show
+// otherwise.
+func (c *Core) SetOutage(now time.Duration) {
+	c.outage, c.outageAt = true, now
+}
+
 // setTarget takes in one entry.
 func (c *Core) setTarget(now time.Duration, id string, ct catalog.Target) {
 	t := c.targets[id]
@@ -92,7 +116,10 @@
 		c.notify(TargetDraining, t)
 	}
 	t.Target = ct
-	t.gone = false
+	if t.gone {
+		t.gone = false
+		c.notify(TargetBack, t)
+	}
 }
 
 // forget drops targets that left the catalog long ago.
@@ -122,9 +149,7 @@
 			continue
 		}
 		c.byStamp[t.Stamp] = t
-		if !t.gone {
-			c.pools[t.Service] = append(c.pools[t.Service], t)
-		}
+		c.pools[t.Service] = append(c.pools[t.Service], t)
 	}
 }
 
