Tell hosts that lag the changes that they lack, ahead of bulk

Change: readers and followers keep the last 64 changes and answer with those that are lacked; changes go out before whole contents.

--- a/host/control.go
+++ b/host/control.go
@@ -229,9 +229,20 @@
 	if kind == allRoutes || kind == allTargets {
 		c.outbox = slices.DeleteFunc(c.outbox, func(o outgoing) bool { return o.to == t.To.At && o.kind == kind })
 	}
+	parts := make([]outgoing, 0, len(datagrams))
 	for _, b := range datagrams {
-		c.outbox = append(c.outbox, outgoing{to: t.To.At, kind: kind, b: b})
+		parts = append(parts, outgoing{to: t.To.At, kind: kind, b: b})
 	}
+	if kind != changes {
+		c.outbox = append(c.outbox, parts...)
+		return
+	}
+	// Changes go before whole contents.
+	at := slices.IndexFunc(c.outbox, func(o outgoing) bool { return o.kind != changes })
+	if at < 0 {
+		at = len(c.outbox)
+	}
+	c.outbox = slices.Insert(c.outbox, at, parts...)
 }
 
 func (c *control) send(o outgoing) {
--- a/reader/fleet_test.go
+++ b/reader/fleet_test.go
@@ -57,6 +57,8 @@
 	// apart says that two failure domains do not reach each other.
 	apart func(a, b string) bool
 	calls int
+	// whole counts the whole contents that hosts told each other.
+	whole int
 }
 
 func newFleet(t *testing.T, domains, each int) *fleet {
@@ -87,7 +89,13 @@
 func (f *fleet) perform(from *host, effects []reader.Effect) {
 	for _, e := range effects {
 		tell, ok := e.(reader.Tell)
-		if !ok || f.rnd.Float64() < f.loss {
+		if !ok {
+			continue
+		}
+		if n, ok := tell.Note.(reader.Content); ok && (n.Full || n.Routes != nil) {
+			f.whole++
+		}
+		if f.rnd.Float64() < f.loss {
 			continue
 		}
 		f.mail = append(f.mail, parcel{at: f.now + step, from: from.Member, to: tell.To.Name, note: tell.Note})
@@ -299,3 +307,19 @@
 	qt.Assert(t, c.Catalog().Routes().Number(), qt.Equals, uint64(9))
 	qt.Assert(t, c.Catalog().Targets(), qt.HasLen, 4)
 }
+
+// TestGapsCostChanges holds that hosts which missed changes are told just these:
+// whole contents for all of a large fleet would fill the readers' links.
+func TestGapsCostChanges(t *testing.T) {
+	f := newFleet(t, 4, 20)
+	f.run(5 * time.Second)
+	f.loss = 0.2
+	f.whole = 0
+	for range 30 {
+		f.change()
+		f.run(700 * time.Millisecond)
+	}
+	f.run(bound)
+	f.check(nil)
+	qt.Assert(t, f.whole, qt.Equals, 0)
+}
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -86,7 +86,10 @@
 	// neighbours are the peers of the same failure domain.
 	neighbours []Member
 	catalog    catalog.Catalog
-	effects    []Effect
+	// routeTrail and targetTrail are the last changes of the catalog.
+	routeTrail  trail
+	targetTrail trail
+	effects     []Effect
 
 	// reading says that this host reads the store, storeAt when the store last
 	// answered it, answered whether it ever did.
@@ -172,7 +175,7 @@
 	if short.RouteChanges == nil && short.Routes == nil && !short.Full && len(short.Changes) == 0 {
 		return nil // A list that brought nothing new.
 	}
-	if c.apply(n) && c.reading {
+	if c.apply(short) && c.reading {
 		c.tellGroup(short)
 	}
 	return c.take()
--- a/reader/spread.go
+++ b/reader/spread.go
@@ -23,19 +23,32 @@
 	c.tell(p.Member, Ask{Routes: c.catalog.RoutesRevision(), Targets: c.catalog.TargetsRevision()})
 }
 
-// answer tells a host what it lacks.
+// answer tells a host what it lacks: the changes since, if they are kept, else
+// everything.
 func (c *Core) answer(to Member, a Ask) {
 	if c.catalog.RoutesRevision() > a.Routes {
-		table := c.catalog.Routes()
-		c.tell(to, Content{Revision: c.catalog.RoutesRevision(), Routes: &table})
+		n, ok := c.routeTrail.since(a.Routes)
+		if !ok || a.Routes == 0 {
+			table := c.catalog.Routes()
+			n = Content{Revision: c.catalog.RoutesRevision(), Routes: &table}
+		}
+		c.tell(to, n)
 	}
 	if c.catalog.TargetsRevision() > a.Targets {
-		all := make([]catalog.Target, 0, len(c.catalog.Targets()))
-		for _, t := range c.catalog.Targets() {
-			all = append(all, t)
+		n, ok := c.targetTrail.since(a.Targets)
+		if !ok || a.Targets == 0 {
+			n = c.allTargets()
 		}
-		c.tell(to, Content{Revision: c.catalog.TargetsRevision(), Full: true, Targets: all})
+		c.tell(to, n)
+	}
+}
+
+func (c *Core) allTargets() Content {
+	all := make([]catalog.Target, 0, len(c.catalog.Targets()))
+	for _, t := range c.catalog.Targets() {
+		all = append(all, t)
 	}
+	return Content{Revision: c.catalog.TargetsRevision(), Full: true, Targets: all}
 }
 
 // learn takes in content from a peer.
@@ -60,6 +73,15 @@
 	}
 }
 
+// keep adds applied content to the trail of its kind.
+func (c *Core) keep(n Content) {
+	if n.Routes != nil || n.RouteChanges != nil {
+		c.routeTrail.add(n)
+		return
+	}
+	c.targetTrail.add(n)
+}
+
 // apply moves the catalog forward and reports whether it did.
 func (c *Core) apply(n Content) bool {
 	old := c.catalog
@@ -75,6 +97,7 @@
 	}
 	moved := old.RoutesRevision() != c.catalog.RoutesRevision() || old.TargetsRevision() != c.catalog.TargetsRevision()
 	if moved {
+		c.keep(n)
 		c.effects = append(c.effects, Publish{Catalog: c.catalog})
 	}
 	return moved
