--- a/host/control.go
+++ b/host/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -24,6 +25,9 @@
 	// of the link that they may take.
 	paceEvery = 10 * time.Millisecond
 	linkShare = 0.2
+	// loadHosts is the number of neighbours that one word on the load goes to; of
+	// more of them, others each time.
+	loadHosts = 24
 	// verdictHosts is the largest number of other hosts that are told of a verdict
 	// across failure domains.
 	verdictHosts = 24
@@ -186,7 +190,13 @@
 // tellLoad tells the load to the other hosts of the failure domain, and verdicts
 // that are new to all hosts that share readers.
 func (c *control) tellLoad(l placement.Load) {
-	for _, m := range c.core.Neighbours() {
+	neighbours := c.core.Neighbours()
+	if len(neighbours) > loadHosts {
+		neighbours = slices.Clone(neighbours)
+		rand.Shuffle(len(neighbours), func(i, j int) { neighbours[i], neighbours[j] = neighbours[j], neighbours[i] })
+		neighbours = neighbours[:loadHosts]
+	}
+	for _, m := range neighbours {
 		c.tell(reader.Tell{To: m, Note: reader.Load{Load: l}})
 	}
 	slices.Sort(l.Dead)
--- a/host/host.go
+++ b/host/host.go
@@ -146,6 +146,9 @@
 		return nil
 	})
 	err := g.Wait()
-	h.log.WithField("after", h.now()).Info("host: stopped")
+	h.log.WithFields(log.Fields{
+		"after": h.now().String(), "packets": h.count.forwarded.Get(), "opened": h.count.opened.Get(),
+		"note_bytes": h.count.noteBytes.Get(),
+	}).Info("host: stopped")
 	return err
 }
--- a/placement/neighbour.go
+++ b/placement/neighbour.go
@@ -18,6 +18,18 @@
 	Dead []uint32
 }
 
+// AtLeast returns l without the targets of which less than n is busy or queued.
+func (l Load) AtLeast(n int) Load {
+	targets := make(map[uint32]TargetLoad, len(l.Targets))
+	for stamp, tl := range l.Targets {
+		if tl.Busy+tl.Queued >= n {
+			targets[stamp] = tl
+		}
+	}
+	l.Targets = targets
+	return l
+}
+
 // TargetLoad is what one host adds to the load of a target.
 type TargetLoad struct {
 	// Busy counts the requests in progress.
