Let hosts that start at once find each other

Change: a host that is not in the list announces itself and lists again. The test also holds that readiness waits for routes and targets, and that nothing is lost while a host leaves.

--- a/host/control.go
+++ b/host/control.go
@@ -312,12 +312,23 @@
 	}
 }
 
-// findMembers announces this host in the store and lists the others.
+// findMembers announces this host in the store and lists the others. A host that
+// is new lists them after its announcement, so that of two that start at once one
+// finds the other and greets it.
 func (h *Host) findMembers(ctx context.Context, self reader.Member, out chan<- []reader.Member) {
 	if h.cfg.Boot.FirstStart {
 		h.try(ctx, "announce", func() error { return h.announce(ctx, self) })
 		sleep(ctx, settleAtFirst)
 	}
+	if slices.Contains(h.passMembers(ctx, out), self) {
+		return
+	}
+	h.try(ctx, "announce", func() error { return h.announce(ctx, self) })
+	h.passMembers(ctx, out)
+}
+
+// passMembers lists the hosts and passes them on.
+func (h *Host) passMembers(ctx context.Context, out chan<- []reader.Member) []reader.Member {
 	var members []reader.Member
 	h.try(ctx, "members", func() error {
 		var err error
@@ -328,12 +339,7 @@
 	case out <- members:
 	case <-ctx.Done():
 	}
-	for _, m := range members {
-		if m == self {
-			return
-		}
-	}
-	h.try(ctx, "announce", func() error { return h.announce(ctx, self) })
+	return members
 }
 
 // try repeats a call to the store until it succeeds.
--- /dev/null
+++ b/host/host_test.go
@@ -0,0 +1,204 @@
+package host_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	qt "github.com/frankban/quicktest"
+
+	"wisteriaweir/fake"
+	"wisteriaweir/host"
+	"wisteriaweir/monitor"
+	"wisteriaweir/platform"
+)
+
+// Addresses of the tests, apart from those of the process tests.
+const (
+	testNet     = 250
+	testPackets = 7400
+)
+
+// system is two hosts in one process, among stand-ins.
+type system struct {
+	store *httptest.Server
+	boots []platform.Boot
+	world *fake.FlowWorld
+}
+
+func newSystem(t *testing.T, lastByte byte) *system {
+	s := &system{store: httptest.NewServer(fake.NewPlatform(fake.PlatformConfig{Lapse: 2 * time.Second}))}
+	t.Cleanup(s.store.Close)
+	var hosts []fake.RouterHost
+	for i := range 2 {
+		ip := netip.AddrFrom4([4]byte{127, testNet, 3, lastByte + byte(i)})
+		b := platform.Boot{
+			Name: "host-" + ip.String(), Domain: "west-a", IP: ip, Packets: netip.AddrPortFrom(ip, testPackets),
+			Ready: netip.AddrPortFrom(ip, 7401), FirstPort: 7410, LastPort: 7415,
+			Store:      netip.MustParseAddrPort(strings.TrimPrefix(s.store.URL, "http://")),
+			StopWithin: 6 * time.Second, FlowAge: time.Minute, Memory: 256 << 20, Link: 100, Processor: 1,
+		}
+		s.boots = append(s.boots, b)
+		hosts = append(hosts, fake.RouterHost{Packets: b.Packets, Ready: b.Ready})
+	}
+	s.world = fake.NewFlowWorld(fake.FlowWorldConfig{
+		Net: [2]byte{127, testNet}, Port: testPackets, Store: s.store.URL, Domains: []string{"west-a"}, Targets: 3,
+		Hosts: hosts, Callers: 2, Seed: 1,
+	})
+	return s
+}
+
+func start(t *testing.T, cfg host.Config) (stop func() time.Duration) {
+	if cfg.Log == nil {
+		cfg.Log = &log.Logger{Handler: discard.New(), Level: log.InfoLevel}
+	}
+	h, err := host.New(cfg)
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- h.Run(ctx) }()
+	var once sync.Once
+	stop = func() (took time.Duration) {
+		once.Do(func() {
+			asked := time.Now()
+			cancel()
+			qt.Check(t, <-done, qt.IsNil)
+			took = time.Since(asked)
+		})
+		return took
+	}
+	t.Cleanup(func() { stop() })
+	return stop
+}
+
+func status(t *testing.T, b platform.Boot) int {
+	resp, err := http.Get("http://" + b.Ready.String() + "/api/readiness")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	qt.Assert(t, err, qt.IsNil)
+	return resp.StatusCode
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s: not within 10 s", what)
+		}
+	}
+}
+
+// TestHost serves through two hosts: not ready before routes and targets are
+// known, all requests answered while one of them leaves, and a dump that tells
+// what it believes.
+func TestHost(t *testing.T) {
+	s := newSystem(t, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	at := netip.AddrPortFrom(s.boots[0].IP, 9102)
+	stop := start(t, host.Config{Boot: s.boots[0], Seed: 1, Monitor: at})
+	start(t, host.Config{Boot: s.boots[1], Seed: 2})
+	await(t, "an answer", func() bool { return status(t, s.boots[0]) != 0 })
+	qt.Assert(t, status(t, s.boots[0]), qt.Equals, http.StatusServiceUnavailable)
+
+	qt.Assert(t, s.world.AddTargets(ctx), qt.IsNil)
+	qt.Assert(t, s.world.Configure(ctx), qt.IsNil)
+	for _, b := range s.boots {
+		await(t, "ready", func() bool { return status(t, b) == http.StatusOK })
+	}
+	go s.world.Router.Run(ctx)
+	await(t, "rotation", func() bool { return s.world.Router.Ready() == 2 })
+	load, cancelLoad := context.WithTimeout(ctx, 6*time.Second)
+	defer cancelLoad()
+	done := make(chan error, 1)
+	go func() { done <- s.world.Callers.Run(load) }()
+
+	time.Sleep(1500 * time.Millisecond)
+	var d host.Dump
+	raw, err := monitor.FetchDump(ctx, at.String())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, json.Unmarshal(raw, &d), qt.IsNil)
+	qt.Check(t, d.Routes, qt.Equals, uint64(1))
+	qt.Check(t, len(d.Targets), qt.Equals, 4)
+	qt.Check(t, len(d.Members), qt.Equals, 2)
+
+	took := stop()
+	qt.Check(t, took > time.Second && took < 4500*time.Millisecond, qt.IsTrue, qt.Commentf("left in %v", took))
+	qt.Assert(t, <-done, qt.IsNil)
+	v := s.world.Verdict()
+	t.Log(v)
+	qt.Check(t, v.Broken(), qt.IsFalse)
+	qt.Check(t, v.Answered, qt.Equals, v.Requests)
+	qt.Check(t, v.Requests > 50, qt.IsTrue)
+}
+
+// recorder keeps what is logged.
+type recorder struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// HandleLog implements log.Handler.
+func (r *recorder) HandleLog(e *log.Entry) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = append(r.lines, e.Message)
+	return nil
+}
+
+func (r *recorder) has(line string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, l := range r.lines {
+		if l == line {
+			return true
+		}
+	}
+	return false
+}
+
+// TestReload reads changed settings, and keeps the old ones when they are broken.
+func TestReload(t *testing.T) {
+	s := newSystem(t, 11)
+	path := filepath.Join(t.TempDir(), "boot.conf")
+	r := &recorder{}
+	h, err := host.New(host.Config{Boot: s.boots[0], BootPath: path, Seed: 1, Log: &log.Logger{Handler: r, Level: log.InfoLevel}})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, os.WriteFile(path, []byte("node_name"), 0o600), qt.IsNil)
+	h.Reload()
+	qt.Check(t, r.has("host: settings not taken, the old ones stay"), qt.IsTrue)
+	qt.Assert(t, os.WriteFile(path, []byte(`node_name=a
+zone=west-a
+ip=127.0.0.1
+listen.datagram_addr=127.0.0.1:1
+listen.ready=127.0.0.1:2
+internal_ports=3,4
+platform.address=127.0.0.1:5
+`), 0o600), qt.IsNil)
+	h.Reload()
+	qt.Check(t, r.has("host: settings read again"), qt.IsTrue)
+}
+
+// TestAddressTaken reports an address that is in use.
+func TestAddressTaken(t *testing.T) {
+	s := newSystem(t, 21)
+	cfg := host.Config{Boot: s.boots[0], Log: &log.Logger{Handler: discard.New(), Level: log.InfoLevel}}
+	_, err := host.New(cfg)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = host.New(cfg)
+	qt.Assert(t, err, qt.ErrorAs, new(*host.StartError))
+}
