Let late requests wait sooner than timely ones

Change: a timely request waits only beyond four in progress for each slot, another one from three on.

--- a/placement/waiting.go
+++ b/placement/waiting.go
@@ -8,11 +8,13 @@
 )
 
 const (
-	// queueFull is the number of requests for each slot of a target at which the
-	// next ones wait here, queueAhead the number below which they go on: the target
-	// then finds the next one without a wait, and the order is decided here.
-	queueFull  = 4
-	queueAhead = 2
+	// queueTimely and queueLate are the numbers of requests for each slot of a
+	// target, beyond which a timely request waits here, and from which others do.
+	// They go on when there are fewer than queueAhead for each slot: the target then
+	// finds the next one without a wait, and the order is decided here.
+	queueTimely = 4
+	queueLate   = 3
+	queueAhead  = 2
 	// holdMost bounds the time for which a request waits for its target; the target
 	// decides then. One that is late already waits longer.
 	holdMost     = 400 * time.Millisecond
@@ -111,7 +113,10 @@
 	if f.kind == route.Upload || t.dead {
 		return false
 	}
-	return t.load() >= t.Slots*queueFull || t.waiting.size() > 0
+	if f.urgency == timely {
+		return t.load() > t.Slots*queueTimely
+	}
+	return t.load() >= t.Slots*queueLate || t.waiting.size() > 0
 }
 
 // hold keeps the first packet of a request until its target has room.
