Let contents go out while notes come fast

Cause: read as a newcomer: the timer that paces contents was set anew after each note, so it never fired while notes came more often than every 10 ms, as with 19 neighbours; contents starved. Change: the timer stays until it has fired. A copy of an opening packet that the flow's next packet has overtaken moves nothing.

--- a/host/control.go
+++ b/host/control.go
@@ -155,14 +155,14 @@
 			}
 		case <-pace:
 			c.drain()
+			pace = nil
 		case read := <-c.h.inspectMembers:
 			read()
 		}
 		if at, ok := c.core.Confirmed(); ok {
 			c.h.confirmed.Store(int64(at))
 		}
-		pace = nil
-		if len(c.outbox) > 0 {
+		if pace == nil && len(c.outbox) > 0 {
 			pace = time.After(paceEvery)
 		}
 		c.h.domainPeers.Store(int32(len(c.core.Neighbours())))
--- a/host/control_test.go
+++ b/host/control_test.go
@@ -1,12 +1,16 @@
 package host
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
 	qt "github.com/frankban/quicktest"
 
 	"wisteriaweir/catalog"
@@ -45,3 +49,56 @@
 	most := 50e6 / 8 * linkShare * paceEvery.Seconds()
 	qt.Assert(t, sent > 0 && float64(sent-1)*1100 <= most, qt.IsTrue, qt.Commentf("%d datagrams at once", sent))
 }
+
+// TestOutboxDrainsBesideNotes holds that contents go out also while notes come
+// faster than the pace.
+func TestOutboxDrainsBesideNotes(t *testing.T) {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	defer conn.Close()
+	here := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	self := reader.Member{Name: "one", Domain: "west-a", At: here}
+	other := reader.Member{Name: "two", Domain: "west-a", At: here}
+	h := &Host{
+		count: newCounters(metrics.NewSet()), cfg: Config{Boot: platform.Boot{Link: 50}}, started: time.Now(),
+		log: &log.Logger{Handler: discard.New(), Level: log.InfoLevel}, findings: make(chan reader.Content),
+	}
+	c := &control{h: h, core: reader.New(reader.Config{Self: self}), encoder: reader.NewEncoder(self, 1), conn: conn}
+	h.current.Store(&catalog.Catalog{})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	notes := make(chan heard)
+	go func() { _ = c.run(ctx, notes, nil) }()
+	var targets []catalog.Target
+	for i := range 300 {
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80)
+		targets = append(targets, catalog.Target{ID: fmt.Sprintf("i-%010x", i), Number: 1, Service: "s", Domain: "d", Slots: 1, At: at})
+	}
+	h.findings <- reader.Content{Revision: 5, Full: true, Targets: targets}
+	notes <- heard{from: other, note: reader.Ask{}}
+	got := make(chan struct{})
+	go func() {
+		d := reader.NewDecoder()
+		b := make([]byte, reader.MaxNote)
+		for {
+			n, _, err := conn.ReadFromUDPAddrPort(b)
+			if err != nil {
+				return
+			}
+			if _, note, err := d.Decode(b[:n]); err == nil {
+				if content, ok := note.(reader.Content); ok && content.Full {
+					close(got)
+					return
+				}
+			}
+		}
+	}()
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		select {
+		case <-got:
+			return
+		case notes <- heard{from: other, note: reader.Beat{}}:
+		}
+	}
+	t.Fatal("the content is still waiting after 3 s")
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -175,6 +175,9 @@
 	}
 	f := c.flows[p.Flow]
 	if f != nil && f.seq == p.Seq && p.Copies > 0 {
+		if f.answered {
+			return Forward{To: f.target} // Overtaken by the packet that opened the flow.
+		}
 		return c.handleCopy(now, p, f, r)
 	}
 	if f != nil {
