Draw waits between tries, and wait, in one place

Cause: host had a backoff and a sleep of its own beside those of platform. Change: platform.Backoff with its bounds in a configuration; host waits by platform.Sleep.

--- a/host/control.go
+++ b/host/control.go
@@ -318,7 +318,7 @@
 func (h *Host) findMembers(ctx context.Context, self reader.Member, out chan<- []reader.Member) {
 	if h.cfg.Boot.FirstStart {
 		h.try(ctx, "announce", func() error { return h.announce(ctx, self) })
-		sleep(ctx, settleAtFirst)
+		_ = platform.Sleep(ctx, settleAtFirst)
 	}
 	if slices.Contains(h.passMembers(ctx, out), self) {
 		return
@@ -352,7 +352,7 @@
 		if failures == 1 {
 			h.log.WithError(err).WithField("for", what).Warn("host: store failed")
 		}
-		sleep(ctx, backoff(failures))
+		_ = platform.Sleep(ctx, h.backoff.After(failures))
 	}
 }
 
--- a/host/forward.go
+++ b/host/forward.go
@@ -111,7 +111,7 @@
 // in the socket meanwhile are still of use to their callers.
 func (h *Host) awaitCatalog(ctx context.Context) {
 	for !h.current.Load().Complete() && h.now() < awaitMost && ctx.Err() == nil {
-		sleep(ctx, awaitStep)
+		_ = platform.Sleep(ctx, awaitStep)
 	}
 }
 
--- a/host/host.go
+++ b/host/host.go
@@ -54,6 +54,7 @@
 	started time.Time
 	conn    *net.UDPConn
 	store   *platform.Store
+	backoff *platform.Backoff
 	metrics *metrics.Set
 	count   *counters
 
@@ -112,6 +113,7 @@
 		loads:      make(chan placement.Load, 1),
 		neighbours: make(chan neighbourLoad, neighbourQueue),
 	}
+	h.backoff = platform.NewBackoff(platform.BackoffConfig{First: retryFirst, Most: retryMost, Seed: cfg.Seed})
 	h.store = platform.NewStore(platform.StoreConfig{URL: "http://" + cfg.Boot.Store.String(), Observe: h.count.call})
 	h.current.Store(&catalog.Catalog{})
 	h.gauges()
--- a/host/reading.go
+++ b/host/reading.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"wisteriaweir/catalog"
@@ -42,7 +41,7 @@
 	for ctx.Err() == nil {
 		if !first && !f.h.reading.Load() {
 			f.revision = 0
-			sleep(ctx, dutyStep)
+			_ = platform.Sleep(ctx, dutyStep)
 			continue
 		}
 		if f.revision == 0 && !f.gone {
@@ -60,7 +59,7 @@
 		case <-ctx.Done():
 		}
 		if len(n.Changes) > 0 || n.Routes != nil {
-			sleep(ctx, f.pause)
+			_ = platform.Sleep(ctx, f.pause)
 		}
 	}
 }
@@ -86,23 +85,7 @@
 	if f.failures == 1 && ctx.Err() == nil {
 		f.h.log.WithError(err).WithField("kind", f.kind).Warn("host: store lost")
 	}
-	sleep(ctx, backoff(f.failures))
-}
-
-// backoff returns the wait after a number of failed calls.
-func backoff(failures int) time.Duration {
-	d := min(retryFirst<<min(failures-1, 10), retryMost)
-	return d/2 + rand.N(d/2)
-}
-
-// sleep waits for a time or the end of ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	_ = platform.Sleep(ctx, f.h.backoff.After(f.failures))
 }
 
 // next makes one call and returns what it found.
--- a/host/ready.go
+++ b/host/ready.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"wisteriaweir/monitor"
+	"wisteriaweir/platform"
 )
 
 const (
@@ -79,7 +80,7 @@
 	start := h.now()
 	most := h.cfg.Boot.StopWithin - leaveMargin
 	for ctx.Err() == nil && h.now()-start < most {
-		time.Sleep(leaveStep)
+		_ = platform.Sleep(ctx, leaveStep)
 		quiet := h.now() - time.Duration(h.lastSeen.Load())
 		if h.now()-start >= leaveAtLeast && quiet >= leaveQuiet {
 			return
