--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"testing"
 	"time"
 
@@ -220,3 +221,33 @@
 		c.Handle(time.Millisecond, packets[i%flows], nil)
 	}
 }
+
+// BenchmarkFlowMemory reports the heap that an open flow takes.
+func BenchmarkFlowMemory(b *testing.B) {
+	for range b.N {
+		c := placement.New(placement.Config{Domain: "west-a", Seed: 1, MaxFlows: 1 << 20})
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, 1}), 80)
+		target := catalog.Target{ID: "i-1", Number: 1, Service: "desk", Slots: 2, Domain: "west-a", At: at}
+		routes := route.NewTable(1, time.Minute, []route.Route{{
+			At: route.Address{IP: worldIP, Port: worldPort}, Kind: route.Safe, Shares: []route.Share{{Service: "desk", Weight: 1}},
+		}})
+		c.SetCatalog(0, catalog.Catalog{}.WithRoutes(routes, 1).WithTargets([]catalog.Target{target}, 1))
+		const flows = 200000
+		before := heap()
+		for i := range flows {
+			f := packet.Flow{CallerIP: uint32(i / 1000), CallerPort: uint16(i % 1000), ServiceIP: worldIP, ServicePort: worldPort}
+			c.Handle(0, packet.Packet{Flow: f, Flags: packet.Syn}, make([]byte, 32))
+			c.Handle(0, packet.Packet{Flow: f, Flags: packet.Ack, Stamp: placement.StampOf("i-1"), Seq: 1, Acked: 1}, nil)
+		}
+		c.Tick(time.Second)
+		b.ReportMetric(float64(heap()-before)/flows, "B/flow")
+		runtime.KeepAlive(c)
+	}
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/reader/codec_test.go
+++ b/reader/codec_test.go
@@ -124,3 +124,22 @@
 		}
 	})
 }
+
+// BenchmarkEncodeTargets measures the whole content of a failure domain's
+// targets at the size aimed for.
+func BenchmarkEncodeTargets(b *testing.B) {
+	e := reader.NewEncoder(self, 1)
+	targets := someTargets(2400)
+	b.ReportAllocs()
+	for range b.N {
+		datagrams, err := e.Encode(reader.Content{Revision: 1, Full: true, Targets: targets})
+		if err != nil {
+			b.Fatal(err)
+		}
+		size := 0
+		for _, d := range datagrams {
+			size += len(d)
+		}
+		b.ReportMetric(float64(size)/float64(len(targets)), "B/target")
+	}
+}
