Beat less often in large groups

Cause: a reader of 200 hosts would send 33 kB/s of beats, against 8 KB/s for control. Change: above 40 hosts the time between beats grows with the group; silence and staleness are counted in beats. A group is worked out when a host is met, not at each look.

--- a/host/control.go
+++ b/host/control.go
@@ -116,7 +116,7 @@
 	defer conn.Close()
 	c := &control{
 		h:       h,
-		core:    reader.New(reader.Config{Self: self, Seed: h.cfg.Seed}),
+		core:    reader.New(reader.Config{Self: self}),
 		encoder: reader.NewEncoder(self, uint64(h.started.UnixNano())),
 		conn:    conn,
 	}
--- a/reader/duty.go
+++ b/reader/duty.go
@@ -7,12 +7,12 @@
 )
 
 const (
-	// staleReader is the age of the store's last answer at which a reader no longer
-	// counts. A watch may be held for most of it.
-	staleReader = 1900 * time.Millisecond
-	// silentReader is the time without a beat after which a reader no longer
-	// counts.
-	silentReader = 900 * time.Millisecond
+	// staleAfter is the age of the store's last answer, beside a beat's wait, at which
+	// a reader no longer counts. A watch may be held for most of it.
+	staleAfter = 1600 * time.Millisecond
+	// silentBeats is the number of beats that have to be missing before a reader no
+	// longer counts.
+	silentBeats = 3
 	// stepInNone and stepInFew are the waits before a host steps in when no reader
 	// is left, and when there are fewer than wanted; each better-ranked host that
 	// does not read adds stepInEach.
@@ -24,27 +24,39 @@
 	stepOutAfter = 3 * time.Second
 )
 
-// group returns the hosts that share readers with this one, itself included, in
-// the order in which they become readers.
-func (c *Core) group() []Member {
+// findGroup sets the hosts that share readers with this one, itself included, in
+// the order in which they become readers, and its neighbours.
+func (c *Core) findGroup() {
 	whole := len(c.peers)+1 <= smallFleet
 	members := []Member{c.cfg.Self}
+	c.neighbours = nil
 	for _, p := range c.peers {
-		if whole || p.Domain == c.cfg.Self.Domain {
+		near := p.Domain == c.cfg.Self.Domain
+		if whole || near {
 			members = append(members, p.Member)
 		}
+		if near {
+			c.neighbours = append(c.neighbours, p.Member)
+		}
 	}
-	return rank(members)
+	c.group = rank(members)
 }
 
 // Group returns the other hosts that share readers with this one.
 func (c *Core) Group() []Member {
-	return slices.DeleteFunc(c.group(), func(m Member) bool { return m.Name == c.cfg.Self.Name })
+	return slices.DeleteFunc(slices.Clone(c.group), func(m Member) bool { return m.Name == c.cfg.Self.Name })
+}
+
+// staleReader returns the age of the store's last answer at which a reader no
+// longer counts.
+func (c *Core) staleReader() time.Duration {
+	return staleAfter + c.beatEvery()
 }
 
 // reads reports whether a peer is a reader whose word is fresh.
 func (c *Core) reads(now time.Duration, p *peer) bool {
-	return p.heard && p.beat.Reading && now-p.heardAt < silentReader && p.beat.Age+now-p.heardAt < staleReader
+	silence := now - p.heardAt
+	return p.heard && p.beat.Reading && silence < silentBeats*c.beatEvery() && p.beat.Age+silence < c.staleReader()
 }
 
 // decide starts or stops reading.
@@ -99,7 +111,7 @@
 // the hosts ranked before this one that do not read.
 func (c *Core) readers(now time.Duration) (better, others, idle int) {
 	before := true
-	for _, m := range c.group() {
+	for _, m := range c.group {
 		if m.Name == c.cfg.Self.Name {
 			before = false
 			continue
@@ -135,16 +147,6 @@
 	return c.neighbours
 }
 
-// findNeighbours sets what Neighbours returns.
-func (c *Core) findNeighbours() {
-	c.neighbours = nil
-	for _, p := range c.peers {
-		if p.Domain == c.cfg.Self.Domain {
-			c.neighbours = append(c.neighbours, p.Member)
-		}
-	}
-}
-
 // Members returns the known hosts, this one included, sorted by name.
 func (c *Core) Members() []Member {
 	members := []Member{c.cfg.Self}
--- a/reader/fleet_test.go
+++ b/reader/fleet_test.go
@@ -69,7 +69,7 @@
 				Name: fmt.Sprintf("host-%d-%d", d, i), Domain: fmt.Sprintf("west-%d", d),
 				At: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(d), 0, byte(i + 1)}), 7720),
 			}
-			f.hosts = append(f.hosts, &host{Member: m, core: reader.New(reader.Config{Self: m, Seed: uint64(len(f.hosts))})})
+			f.hosts = append(f.hosts, &host{Member: m, core: reader.New(reader.Config{Self: m})})
 		}
 	}
 	for _, h := range f.hosts {
@@ -231,7 +231,7 @@
 		f.check(nil)
 		for _, h := range killed {
 			h.down = false
-			h.core = reader.New(reader.Config{Self: h.Member, Seed: f.rnd.Uint64()})
+			h.core = reader.New(reader.Config{Self: h.Member})
 			h.seen = 0
 			f.perform(h, h.core.SetMembers(f.now, f.members()))
 		}
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	c := reader.New(reader.Config{Self: self, Seed: 1})
+//	c := reader.New(reader.Config{Self: self})
 //	c.SetMembers(now, members)
 //	for _, e := range c.Tick(now) {
 //		switch e := e.(type) {
@@ -28,15 +28,17 @@
 package reader
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"wisteriaweir/catalog"
 )
 
 const (
-	// beatEvery is the time between two beats of a reader.
-	beatEvery = 300 * time.Millisecond
+	// beatLeast is the time between two beats of a reader in a group of beatHosts
+	// hosts or fewer; in a larger one it grows with the group, so that a reader's
+	// bytes a second do not.
+	beatLeast = 300 * time.Millisecond
+	beatHosts = 40
 	// readersWanted is the number of readers of a group.
 	readersWanted = 2
 	// smallFleet is the largest fleet that is one group; in a larger one each
@@ -47,8 +49,6 @@
 // Config configures a Core.
 type Config struct {
 	Self Member
-	// Seed seeds the jitter.
-	Seed uint64
 }
 
 // Effect is something to be done: Tell or Publish.
@@ -81,9 +81,10 @@
 // Core is the state of one host.
 type Core struct {
 	cfg   Config
-	rnd   *rand.Rand
 	peers map[string]*peer
-	// neighbours are the peers of the same failure domain.
+	// group are the hosts that share readers with this one, itself included, in the
+	// order in which they become readers; neighbours the peers of its failure domain.
+	group      []Member
 	neighbours []Member
 	catalog    catalog.Catalog
 	// routeTrail and targetTrail are the last changes of the catalog.
@@ -106,7 +107,9 @@
 
 // New returns a core that knows only its own host.
 func New(cfg Config) *Core {
-	return &Core{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.Seed, 1)), peers: map[string]*peer{}}
+	c := &Core{cfg: cfg, peers: map[string]*peer{}}
+	c.findGroup()
+	return c
 }
 
 // Reading reports whether this host has to read the store.
@@ -130,14 +133,14 @@
 			c.tell(m, Hello{})
 		}
 	}
-	c.findNeighbours()
+	c.findGroup()
 	return c.take()
 }
 
 // Tick does what is due at a time.
 func (c *Core) Tick(now time.Duration) []Effect {
 	c.decide(now)
-	if c.reading && now-c.beatAt >= beatEvery {
+	if c.reading && now-c.beatAt >= c.beatEvery() {
 		c.beatAt = now
 		c.tellGroup(c.beat(now))
 	}
@@ -195,13 +198,18 @@
 	}
 }
 
+// beatEvery returns the time between two beats of a reader of this host's group.
+func (c *Core) beatEvery() time.Duration {
+	return beatLeast * time.Duration(max(beatHosts, len(c.group))) / beatHosts
+}
+
 // meet returns the peer that a note came from.
 func (c *Core) meet(now time.Duration, m Member) *peer {
 	p := c.peers[m.Name]
 	if p == nil || p.At != m.At {
 		p = &peer{Member: m, heardAt: now}
 		c.peers[m.Name] = p
-		c.findNeighbours()
+		c.findGroup()
 	}
 	return p
 }
@@ -212,7 +220,7 @@
 	if c.answered {
 		b.Age = now - c.storeAt
 	} else {
-		b.Age = now + staleReader
+		b.Age = now + c.staleReader()
 	}
 	return b
 }
@@ -222,7 +230,7 @@
 }
 
 func (c *Core) tellGroup(n Note) {
-	for _, m := range c.group() {
+	for _, m := range c.group {
 		if m.Name != c.cfg.Self.Name {
 			c.tell(m, n)
 		}
