Follow settings that change without a signal

Cause: the platform may change the settings file without a signal, and a new address of its store had to wait for a restart.

--- a/host/control.go
+++ b/host/control.go
@@ -357,13 +357,13 @@
 }
 
 func (h *Host) announce(ctx context.Context, self reader.Member) error {
-	return h.store.Set(ctx, platform.KindHosts, self.Name, platform.HostSpec{
+	return h.store.Load().Set(ctx, platform.KindHosts, self.Name, platform.HostSpec{
 		Address: self.At.String(), Domain: self.Domain, Strong: self.Strong,
 	})
 }
 
 func (h *Host) listMembers(ctx context.Context) ([]reader.Member, error) {
-	records, _, err := h.store.List(ctx, platform.KindHosts)
+	records, _, err := h.store.Load().List(ctx, platform.KindHosts)
 	if err != nil {
 		return nil, err
 	}
--- a/host/host.go
+++ b/host/host.go
@@ -53,11 +53,13 @@
 	log     log.Interface
 	started time.Time
 	conn    *net.UDPConn
-	store   *platform.Store
 	backoff *platform.Backoff
 	metrics *metrics.Set
 	count   *counters
 
+	// boot are the settings as last read, store the client for their address.
+	boot  atomic.Pointer[platform.Boot]
+	store atomic.Pointer[platform.Store]
 	// forwarder and control are owned by a goroutine each; others read them by way
 	// of inspectFlows and inspectMembers.
 	forwarder      *forwarder
@@ -114,12 +116,18 @@
 		neighbours: make(chan neighbourLoad, neighbourQueue),
 	}
 	h.backoff = platform.NewBackoff(platform.BackoffConfig{First: retryFirst, Most: retryMost, Seed: cfg.Seed})
-	h.store = platform.NewStore(platform.StoreConfig{URL: "http://" + cfg.Boot.Store.String(), Observe: h.count.call})
+	h.boot.Store(&cfg.Boot)
+	h.store.Store(h.newStore(cfg.Boot.Store))
 	h.current.Store(&catalog.Catalog{})
 	h.gauges()
 	return h, nil
 }
 
+// newStore returns a client of the store at an address.
+func (h *Host) newStore(at netip.AddrPort) *platform.Store {
+	return platform.NewStore(platform.StoreConfig{URL: "http://" + at.String(), Observe: h.count.call})
+}
+
 // now returns the time since the start of the process.
 func (h *Host) now() time.Duration {
 	return time.Since(h.started)
@@ -136,6 +144,7 @@
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return h.serveReady(work) })
 	g.Go(func() error { return h.serveMonitor(work) })
+	g.Go(func() error { return h.watchBoot(work) })
 	g.Go(func() error { return h.believe(work) })
 	g.Go(func() error { return h.forward(work) })
 	g.Go(func() error {
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -191,6 +192,30 @@
 `), 0o600), qt.IsNil)
 	h.Reload()
 	qt.Check(t, r.has("host: settings read again"), qt.IsTrue)
+	qt.Check(t, r.has("host: another address of the store"), qt.IsTrue)
+}
+
+// TestStoreMoves changes the store's address in the settings file, without a
+// signal: the host reads from there.
+func TestStoreMoves(t *testing.T) {
+	s := newSystem(t, 31)
+	ctx := context.Background()
+	qt.Assert(t, s.world.AddTargets(ctx), qt.IsNil)
+	qt.Assert(t, s.world.Configure(ctx), qt.IsNil)
+	path := filepath.Join(t.TempDir(), "boot.conf")
+	write := func(store string) {
+		b := s.boots[0]
+		text := fmt.Sprintf("node_name=%s\nzone=%s\nip=%s\nlisten.datagram_addr=%s\nlisten.ready=%s\ninternal_ports=7410,7415\nplatform.address=%s\n",
+			b.Name, b.Domain, b.IP, b.Packets, b.Ready, store)
+		qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
+	}
+	write("127.0.0.1:1")
+	boot, err := platform.ReadBoot(path)
+	qt.Assert(t, err, qt.IsNil)
+	start(t, host.Config{Boot: boot, BootPath: path, Seed: 1})
+	await(t, "an answer", func() bool { return status(t, boot) == http.StatusServiceUnavailable })
+	write(strings.TrimPrefix(s.store.URL, "http://"))
+	await(t, "ready", func() bool { return status(t, boot) == http.StatusOK })
 }
 
 // TestAddressTaken reports an address that is in use.
--- a/host/reading.go
+++ b/host/reading.go
@@ -98,7 +98,7 @@
 
 // list reads the kind as a whole.
 func (f *feed) list(ctx context.Context) (reader.Content, error) {
-	records, revision, err := f.h.store.List(ctx, f.kind)
+	records, revision, err := f.h.store.Load().List(ctx, f.kind)
 	if err != nil {
 		return reader.Content{}, err
 	}
@@ -125,7 +125,7 @@
 // watch waits for changes of the kind. The revision of what it returns is that of
 // the newest change, the same for all that read it.
 func (f *feed) watch(ctx context.Context) (reader.Content, error) {
-	events, next, err := f.h.store.Watch(ctx, f.kind, f.revision, watchWait)
+	events, next, err := f.h.store.Load().Watch(ctx, f.kind, f.revision, watchWait)
 	if err != nil {
 		return reader.Content{}, err
 	}
