Split the control of a host, and look at the load once a wait

Cause: host/control.go held members, the outbox and the loop; an idle host summed up its load at each packet, as the time of the last look was kept only when there was something to tell.

--- a/host/control.go
+++ b/host/control.go
@@ -21,10 +21,6 @@
 	controlTick = 100 * time.Millisecond
 	// dutyStep is the time between two looks at whether this host has to read.
 	dutyStep = 50 * time.Millisecond
-	// paceEvery is the time between two sends of large contents, linkShare the part
-	// of the link that they may take.
-	paceEvery = 10 * time.Millisecond
-	linkShare = 0.2
 	// loadHosts is the number of neighbours that one word on the load goes to; of
 	// more of them, others each time.
 	loadHosts = 24
@@ -37,9 +33,6 @@
 	// which a host counts as one with something to spare.
 	strongProcessor = 0.3
 	strongLink      = 50
-	// settleAtFirst is how long a host that starts with all the others waits
-	// before it lists them.
-	settleAtFirst = 1200 * time.Millisecond
 )
 
 // heard is a note from another host.
@@ -61,39 +54,6 @@
 	outbox []outgoing
 }
 
-// outgoing is a datagram for another host. Kind is the kind of the content that
-// it is a part of.
-type outgoing struct {
-	to   netip.AddrPort
-	kind contentKind
-	b    []byte
-}
-
-// contentKind tells apart contents of which a newer one makes an older one
-// needless.
-type contentKind int
-
-const (
-	noContent contentKind = iota
-	allRoutes
-	allTargets
-	changes
-)
-
-func kindOf(n reader.Note) contentKind {
-	c, ok := n.(reader.Content)
-	switch {
-	case !ok:
-		return noContent
-	case c.Routes != nil:
-		return allRoutes
-	case c.Full:
-		return allTargets
-	default:
-		return changes
-	}
-}
-
 // listenNotes opens the socket on which the other hosts are heard.
 func (h *Host) listenNotes() (*net.UDPConn, reader.Member, error) {
 	at := netip.AddrPortFrom(h.cfg.Boot.IP, uint16(h.cfg.Boot.FirstPort))
@@ -225,53 +185,6 @@
 	}
 }
 
-func (c *control) tell(t reader.Tell) {
-	datagrams, err := c.encoder.Encode(t.Note)
-	if err != nil {
-		c.h.log.WithError(err).Error("host: note not encoded")
-		return
-	}
-	kind := kindOf(t.Note)
-	if len(datagrams) == 1 {
-		c.send(outgoing{to: t.To.At, b: datagrams[0]})
-		return
-	}
-	if kind == allRoutes || kind == allTargets {
-		c.outbox = slices.DeleteFunc(c.outbox, func(o outgoing) bool { return o.to == t.To.At && o.kind == kind })
-	}
-	parts := make([]outgoing, 0, len(datagrams))
-	for _, b := range datagrams {
-		parts = append(parts, outgoing{to: t.To.At, kind: kind, b: b})
-	}
-	if kind != changes {
-		c.outbox = append(c.outbox, parts...)
-		return
-	}
-	// Changes go before whole contents.
-	at := slices.IndexFunc(c.outbox, func(o outgoing) bool { return o.kind != changes })
-	if at < 0 {
-		at = len(c.outbox)
-	}
-	c.outbox = slices.Insert(c.outbox, at, parts...)
-}
-
-func (c *control) send(o outgoing) {
-	c.h.count.noteBytes.Add(len(o.b))
-	if _, err := c.conn.WriteToUDPAddrPort(o.b, o.to); err != nil {
-		c.h.count.noteErrors.Inc()
-	}
-}
-
-// drain sends what the pace allows for one paceEvery.
-func (c *control) drain() {
-	budget := c.h.cfg.Boot.Link * linkShare / 8 * 1e6 * paceEvery.Seconds()
-	for budget > 0 && len(c.outbox) > 0 {
-		c.send(c.outbox[0])
-		budget -= float64(len(c.outbox[0].b))
-		c.outbox = c.outbox[1:]
-	}
-}
-
 // publish makes a catalog what the packets follow.
 func (c *control) publish(cat catalog.Catalog) {
 	old := c.h.current.Load()
@@ -311,70 +224,3 @@
 		}
 	}
 }
-
-// findMembers announces this host in the store and lists the others. A host that
-// is new lists them after its announcement, so that of two that start at once one
-// finds the other and greets it.
-func (h *Host) findMembers(ctx context.Context, self reader.Member, out chan<- []reader.Member) {
-	if h.cfg.Boot.FirstStart {
-		h.try(ctx, "announce", func() error { return h.announce(ctx, self) })
-		_ = platform.Sleep(ctx, settleAtFirst)
-	}
-	if slices.Contains(h.passMembers(ctx, out), self) {
-		return
-	}
-	h.try(ctx, "announce", func() error { return h.announce(ctx, self) })
-	h.passMembers(ctx, out)
-}
-
-// passMembers lists the hosts and passes them on.
-func (h *Host) passMembers(ctx context.Context, out chan<- []reader.Member) []reader.Member {
-	var members []reader.Member
-	h.try(ctx, "members", func() error {
-		var err error
-		members, err = h.listMembers(ctx)
-		return err
-	})
-	select {
-	case out <- members:
-	case <-ctx.Done():
-	}
-	return members
-}
-
-// try repeats a call to the store until it succeeds.
-func (h *Host) try(ctx context.Context, what string, call func() error) {
-	for failures := 1; ctx.Err() == nil; failures++ {
-		err := call()
-		if err == nil {
-			return
-		}
-		if failures == 1 {
-			h.log.WithError(err).WithField("for", what).Warn("host: store failed")
-		}
-		_ = platform.Sleep(ctx, h.backoff.After(failures))
-	}
-}
-
-func (h *Host) announce(ctx context.Context, self reader.Member) error {
-	return h.store.Load().Set(ctx, platform.KindHosts, self.Name, platform.HostSpec{
-		Address: self.At.String(), Domain: self.Domain, Strong: self.Strong,
-	})
-}
-
-func (h *Host) listMembers(ctx context.Context) ([]reader.Member, error) {
-	records, _, err := h.store.Load().List(ctx, platform.KindHosts)
-	if err != nil {
-		return nil, err
-	}
-	var members []reader.Member
-	for _, r := range records {
-		spec, at, err := platform.ParseHost(r)
-		if err != nil {
-			h.log.WithError(err).Warn("host: entry of a host not used")
-			continue
-		}
-		members = append(members, reader.Member{Name: r.Name, Domain: spec.Domain, At: at, Strong: spec.Strong})
-	}
-	return members, nil
-}
--- a/host/forward.go
+++ b/host/forward.go
@@ -30,19 +30,6 @@
 	// has just started; awaitStep is the time between two looks.
 	awaitMost = 180 * time.Millisecond
 	awaitStep = 2 * time.Millisecond
-	// loadFirst and loadEach make up the time between two words on the load: the
-	// more neighbours, the longer.
-	loadFirst = 15 * time.Millisecond
-	loadEach  = 10 * time.Millisecond
-	// loadBudget is what words on the load may take, in bytes a second. Targets with
-	// the least load are left out first, up to loadLeast; then words come less often,
-	// at least every loadMost. A word takes loadFrame bytes and loadEntry for each
-	// target.
-	loadBudget = 5000.0
-	loadLeast  = 4
-	loadMost   = 500 * time.Millisecond
-	loadFrame  = 60
-	loadEntry  = 7
 	// flowMemory is the memory reckoned for one flow, in bytes.
 	flowMemory = 512
 	// flowShare is the part of the memory that the table of flows may take.
@@ -134,45 +121,6 @@
 	}
 }
 
-// tellLoad hands on what this host sees of the targets, as long as there is
-// something to see.
-func (f *forwarder) tellLoad() {
-	peers := min(int(f.h.domainPeers.Load()), loadHosts)
-	now := f.h.now()
-	if now-f.toldAt < f.loadWait {
-		return
-	}
-	l, wait := withinBudget(f.core.Load(), peers)
-	empty := len(l.Targets) == 0 && len(l.Dead) == 0
-	if empty && f.toldEmpty {
-		return
-	}
-	select {
-	case f.h.loads <- l:
-		f.toldAt, f.toldEmpty, f.loadWait = now, empty, wait
-	default:
-		f.h.count.noteDropped.Inc()
-	}
-}
-
-// withinBudget leaves out the targets with the least load until a word to all
-// neighbours fits the budget, and returns the time until the next word.
-func withinBudget(l placement.Load, peers int) (placement.Load, time.Duration) {
-	wait := loadFirst + time.Duration(peers)*loadEach
-	for least := 1; least <= loadLeast; least++ {
-		l = l.AtLeast(least)
-		if cost(l, peers) <= loadBudget*wait.Seconds() {
-			return l, wait
-		}
-	}
-	return l, min(time.Duration(cost(l, peers)/loadBudget*float64(time.Second)), loadMost)
-}
-
-// cost is the bytes that a word on the load takes to all neighbours, about.
-func cost(l placement.Load, peers int) float64 {
-	return float64(peers * (loadFrame + loadEntry*len(l.Targets)))
-}
-
 // step handles one datagram, or what is due when none comes.
 func (f *forwarder) step() error {
 	if err := f.h.conn.SetReadDeadline(time.Now().Add(f.wait())); err != nil {
