Drop copies of opening packets that were overtaken, and only those

Change: only a flow that this host placed has an opening packet; its copy after the answer is dropped, the caller has the answer.

--- a/placement/flow.go
+++ b/placement/flow.go
@@ -26,8 +26,10 @@
 	number uint64
 	target *Target
 	kind   route.Kind
-	// seq is the position of the opening packet.
-	seq uint32
+	// placed says that this host placed the flow; seq is the position of its opening
+	// packet then.
+	placed bool
+	seq    uint32
 	// answered says that the target's answer to the opening packet has reached the
 	// caller.
 	answered bool
@@ -67,6 +69,7 @@
 		key:     p.Flow,
 		target:  t,
 		kind:    kind,
+		placed:  true,
 		seq:     p.Seq,
 		end:     p.Seq,
 		opened:  now,
@@ -91,7 +94,6 @@
 	f := &flow{
 		key:      p.Flow,
 		target:   t,
-		seq:      p.Seq,
 		end:      p.Seq,
 		acked:    p.Acked,
 		answered: true,
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -174,9 +174,9 @@
 		return c.reject(p, NoRoute)
 	}
 	f := c.flows[p.Flow]
-	if f != nil && f.seq == p.Seq && p.Copies > 0 {
+	if f != nil && f.placed && f.seq == p.Seq && p.Copies > 0 {
 		if f.answered {
-			return Forward{To: f.target} // Overtaken by the packet that opened the flow.
+			return Drop{Reason: Repeated} // Overtaken by the packet that opened the flow.
 		}
 		return c.handleCopy(now, p, f, r)
 	}
--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -100,6 +100,10 @@
 		w.checkOpen(d.To)
 		w.opened[f] = d.To.Stamp
 	case placement.Reject:
+	case placement.Drop:
+		if d.Reason != placement.Repeated || p.Copies == 0 {
+			w.t.Fatalf("an opening packet is dropped, reason %d", d.Reason)
+		}
 	default:
 		w.t.Fatalf("an opening packet: %T", d)
 	}
