--- a/fake/flowresult.go
+++ b/fake/flowresult.go
@@ -18,8 +18,8 @@
 	Crossed, Forged int64
 	// Resets holds the resets of open flows that hosts sent.
 	Resets []FlowReset
-	// IDs are the requests that may run at most once, by whether a success or a
-	// refusal was told.
+	// Told holds, by the ID of each try of a request that may run at most once, what
+	// its caller was told: answered, not run or unknown.
 	Told map[string]string
 }
 
