Tell pins on that came before this member was their home

Seen in a trace of the shrunk case: b2 learns from b0 and b3 with epoch 2 as its oldest, where the home is b3, and collects it later as told. Change: such pins are learned as owed (LearnOwed), so that the next collect tells them.

--- a/balancer/control.go
+++ b/balancer/control.go
@@ -203,6 +203,8 @@
 		})
 	case flow.Learn:
 		c.b.learn(e.Pins, (*flow.Shard).Learn)
+	case flow.LearnOwed:
+		c.b.learn(e.Pins, (*flow.Shard).LearnOwed)
 	case flow.LearnKnown:
 		c.b.learn(e.Known, (*flow.Shard).LearnKnown)
 	case flow.Send:
--- a/flow/event.go
+++ b/flow/event.go
@@ -61,9 +61,15 @@
 // CollectHeld asks every shard of a leaving member for all its flows.
 type CollectHeld struct{}
 
-// Learn gives pins to the shards that own their hashes.
+// Learn gives pins that all members are told to the shards that own their
+// hashes.
 type Learn struct{ Pins []Pin }
 
+// LearnOwed gives pins that only this member was told to the shards that own
+// their hashes: the sender counts this member, or another one, as their home, and
+// this member does not yet.
+type LearnOwed struct{ Pins []Pin }
+
 // LearnKnown gives flows of a leaving member to the shards that own their
 // hashes.
 type LearnKnown struct{ Known []Pin }
@@ -77,6 +83,7 @@
 func (Publish) effect()     {}
 func (Collect) effect()     {}
 func (Learn) effect()       {}
+func (LearnOwed) effect()   {}
 func (LearnKnown) effect()  {}
 func (CollectHeld) effect() {}
 func (Send) effect()        {}
--- a/flow/flow.go
+++ b/flow/flow.go
@@ -19,9 +19,9 @@
 //
 // It carries out the effects in their order. Publish goes to Shard.Apply on
 // every shard, Collect to Shard.Collect on every shard (the results come back
-// together as one CollectedEvent), CollectHeld likewise (HeldEvent), Learn and
-// LearnKnown to the shard that owns the hash, and Send to the named member, whose Generations receives it as a
-// BatchEvent. A TickEvent every 100 ms drives batches and resends; the pins of
+// together as one CollectedEvent), CollectHeld likewise (HeldEvent), Learn,
+// LearnOwed and LearnKnown to the shard that owns the hash, and Send to the named
+// member, whose Generations receives it as a BatchEvent. A TickEvent every 100 ms drives batches and resends; the pins of
 // Shard.TakePins go in as a PinsEvent with the tick.
 //
 // The owner of a shard routes a datagram without a lock or an allocation:
--- a/flow/learn.go
+++ b/flow/learn.go
@@ -65,21 +65,40 @@
 	s.fresh = s.fresh[:0]
 }
 
-// Learn takes pins that other members told.
+// Learn takes pins that all members are told.
 func (s *Shard) Learn(now time.Duration, pins []Pin) {
 	for _, p := range pins {
-		e := s.flows.find(usable(p.Hash))
-		if e == nil {
-			e = s.flows.insert(usable(p.Hash))
+		if e := s.learn(now, p); e != nil {
+			e.flags |= flagTold
 		}
-		if e == nil {
-			s.stats.Refused++
-			continue
+	}
+}
+
+// LearnOwed takes pins that only this member was told. Collect returns them as
+// not told.
+func (s *Shard) LearnOwed(now time.Duration, pins []Pin) {
+	for _, p := range pins {
+		if e := s.flows.find(usable(p.Hash)); e != nil && e.target != p.Target {
+			e.flags &^= flagTold
 		}
-		e.target = p.Target
-		e.flags |= flagPinned | flagTold
-		e.told = ticks(now)
+		s.learn(now, p)
+	}
+}
+
+// learn takes a pin, and returns its entry, nil if there is no room.
+func (s *Shard) learn(now time.Duration, p Pin) *entry {
+	e := s.flows.find(usable(p.Hash))
+	if e == nil {
+		e = s.flows.insert(usable(p.Hash))
+	}
+	if e == nil {
+		s.stats.Refused++
+		return nil
 	}
+	e.target = p.Target
+	e.flags |= flagPinned
+	e.told = ticks(now)
+	return e
 }
 
 // CollectHeld returns every flow of which a datagram came here, with its home
--- /dev/null
+++ b/flow/overlap_test.go
@@ -0,0 +1,66 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"wisteriaweir/measure"
+)
+
+// overlap is a schedule of planned changes that overlap, drawn by
+// TestPlannedChangesBreakNoFlow.
+type overlap struct {
+	name               string
+	seed               uint64
+	domains, balancers int
+	uneven, jitter     time.Duration
+	loss               float64
+	changes            []step
+}
+
+// step is a planned change some time after the one before it.
+type step struct {
+	after time.Duration
+	kind  string
+	which int
+}
+
+var overlaps = []overlap{
+	{
+		// The home by the next epoch was told a pin while it still went by the epoch
+		// before, and never told it on.
+		name: "pin told to a home that is behind", seed: 1, domains: 4, balancers: 5,
+		uneven: 3929 * time.Millisecond, jitter: 26 * time.Millisecond, loss: 0.07,
+		changes: []step{
+			{4080 * time.Millisecond, "leave", 18},
+			{164 * time.Millisecond, "leave", 13},
+			{28 * time.Millisecond, "add", 10},
+		},
+	},
+}
+
+func TestOverlappingChangesBreakNoFlow(t *testing.T) {
+	for _, o := range overlaps {
+		t.Run(o.name, func(t *testing.T) {
+			c := qt.New(t)
+			f := measure.NewFlowFleet(measure.FlowFleetConfig{
+				Seed: o.seed, Way: measure.WayPins, Domains: o.domains, Balancers: o.balancers,
+				Pools: []int{6, 3}, FlowsPerTarget: 40, Between: 5 * time.Millisecond, Within: time.Millisecond,
+				Gap: 2 * time.Second, Life: 20 * time.Second, Lasting: 0.5, Uneven: o.uneven, Loss: o.loss,
+				Jitter: o.jitter, Rebalance: 7 * time.Second, MaxFlows: 1024,
+			})
+			at := 8 * time.Second
+			for _, ch := range o.changes {
+				at += ch.after
+				f.Run(at)
+				planned(f, ch.kind, ch.which)
+			}
+			f.StopRebalance()
+			f.Run(at + settleTime)
+			c.Assert(f.Count.Planned, qt.Equals, 0)
+			c.Assert(f.Settled(), qt.IsTrue)
+		})
+	}
+}
--- a/flow/return_test.go
+++ b/flow/return_test.go
@@ -49,6 +49,8 @@
 			s.Apply(e.Snapshot)
 		case flow.Learn:
 			s.Learn(w.now, e.Pins)
+		case flow.LearnOwed:
+			s.LearnOwed(w.now, e.Pins)
 		case flow.Collect:
 			w.handle(name, flow.CollectedEvent{Epoch: e.Epoch, Step: e.Step, Found: s.Collect(w.now)})
 		case flow.Send:
--- a/flow/settle.go
+++ b/flow/settle.go
@@ -259,23 +259,43 @@
 }
 
 // learn takes pins: those of a home are final, those that a home is told by
-// another member are passed on.
+// another member are passed on. Of others this member will be the home in an
+// epoch to which the sender is ahead; they are told to all when it gets there.
 func (g *Generations) learn(from *peer, pins []Pin) {
 	if len(pins) == 0 || len(g.live) == 0 {
 		return
 	}
-	g.emit(Learn{Pins: pins})
+	var told, owed []Pin
 	skip := g.skip()
 	for _, pin := range pins {
 		delete(g.owed[from.member.Name], pin.Hash)
-		if g.homeOf(pin.Hash, skip) != g.cfg.Self || g.relayed[pin.Hash] {
-			continue
+		switch g.homeOf(pin.Hash, skip) {
+		case from.member.Name:
+			told = append(told, pin)
+		case g.cfg.Self:
+			told = append(told, pin)
+			g.relay(from, pin)
+		default:
+			owed = append(owed, pin)
 		}
-		g.relayed[pin.Hash] = true
-		for _, n := range g.names {
-			if n != from.member.Name {
-				g.peers[n].tell(pin)
-			}
+	}
+	if len(told) > 0 {
+		g.emit(Learn{Pins: told})
+	}
+	if len(owed) > 0 {
+		g.emit(LearnOwed{Pins: owed})
+	}
+}
+
+// relay passes on a pin of which this member is the home.
+func (g *Generations) relay(from *peer, pin Pin) {
+	if g.relayed[pin.Hash] {
+		return
+	}
+	g.relayed[pin.Hash] = true
+	for _, n := range g.names {
+		if n != from.member.Name {
+			g.peers[n].tell(pin)
 		}
 	}
 }
--- a/measure/flow_host.go
+++ b/measure/flow_host.go
@@ -74,6 +74,8 @@
 				h.shard.Apply(eff.Snapshot)
 			case flow.Learn:
 				h.shard.Learn(now, eff.Pins)
+			case flow.LearnOwed:
+				h.shard.LearnOwed(now, eff.Pins)
 			case flow.LearnKnown:
 				h.shard.LearnKnown(now, eff.Known)
 			case flow.CollectHeld:
