Tell newcomers the pins of flows that come to another home

The leaving one was past the epoch in which it was a home, the next home was not, so each took the other for the one that tells the newcomer; when it became the home it had already counted the newcomer as told. Seen in a trace of the shrunk case (b1 collects at step 1 with home b3, then with home b1). Change: when old epochs are dropped in part, members that have joined since the oldest of them count as not told.

--- a/flow/overlap_test.go
+++ b/flow/overlap_test.go
@@ -39,6 +39,17 @@
 			{28 * time.Millisecond, "add", 10},
 		},
 	},
+	{
+		// The homes of two epochs each took the other for the one that tells a newcomer.
+		name: "newcomer told by no home", seed: 0xcb56f68, domains: 4, balancers: 4,
+		uneven: 122 * time.Millisecond, jitter: 12 * time.Millisecond, loss: 0.06,
+		changes: []step{
+			{0, "leave", 11},
+			{time.Millisecond, "join", 1},
+			{5453 * time.Millisecond, "join", 10},
+			{4 * time.Millisecond, "drain", 26},
+		},
+	},
 }
 
 func TestOverlappingChangesBreakNoFlow(t *testing.T) {
--- a/flow/settle.go
+++ b/flow/settle.go
@@ -193,7 +193,8 @@
 
 // retirePart drops epochs before one that every home has decided by, although
 // newer ones have come since: the members of the old ones are no longer those
-// that the others ask. What this member owes goes to the present homes.
+// that the others ask. What this member owes goes to the present homes, and as one
+// of them it tells those that have joined since what the homes before did not.
 func (g *Generations) retirePart(now time.Duration) bool {
 	lowest := g.newest().number
 	if g.isHome() {
@@ -208,18 +209,27 @@
 	if k == 0 || k == len(g.live)-1 {
 		return false
 	}
-	g.setLive(g.live[k:])
-	g.collected, g.asked = 0, StepTold
-	g.owed = make(map[string]map[uint64]TargetID)
 	number := g.newest().number
-	for _, p := range g.peers {
+	for n, p := range g.peers {
 		p.marked[StepOwed] = min(p.marked[StepOwed], number-1)
+		if g.joinedSince(n) {
+			p.marked[StepTold] = 0
+		}
 	}
+	g.setLive(g.live[k:])
+	g.collected, g.asked = 0, StepTold
+	g.owed = make(map[string]map[uint64]TargetID)
 	g.publish(now)
 	g.emit(Collect{Epoch: number, Step: StepTold})
 	return true
 }
 
+// joinedSince reports whether a member is new since the oldest live epoch.
+func (g *Generations) joinedSince(name string) bool {
+	i := g.live[0].member(name)
+	return i < 0 || g.gone[i]
+}
+
 // settled reports whether every home opens flows by the newest epoch.
 func (g *Generations) settled() bool {
 	number := g.newest().number
