Say of each pin whether the receiver has to tell it on

Change: a batch says how many of its pins, the last ones, are owed (field 12; older members read the pins as before). More owed than sent is an error of the decoder.

--- a/flow/batch.go
+++ b/flow/batch.go
@@ -38,7 +38,10 @@
 	Newest uint64
 	// Hello asks for an answer that shows the newest epoch.
 	Hello bool
-	Pins  []Pin
+	// Pins are told to all members by the sender, the home of their flows, but for
+	// the last Owed of them: the receiver is the home, and tells them on.
+	Pins []Pin
+	Owed int
 	// Known are flows that a leaving member hands over to their home.
 	Known []Pin
 	Marks []Mark
@@ -63,7 +66,7 @@
 // Size returns the encoded size in bytes, or a few more.
 func (b Batch) Size() int {
 	n := tagSize + varintSize(uint64(len(b.From))) + len(b.From)
-	for _, v := range []uint64{b.Life, b.Session, b.Seq, b.AckSession, b.Ack, b.Newest} {
+	for _, v := range []uint64{b.Life, b.Session, b.Seq, b.AckSession, b.Ack, b.Newest, uint64(b.Owed)} {
 		n += fieldSize(v)
 	}
 	if b.Hello {
--- a/flow/flowpb/codec.go
+++ b/flow/flowpb/codec.go
@@ -25,12 +25,21 @@
 	return fmt.Sprintf("flow batch: no step %d", e.Step)
 }
 
+// OwedError reports a batch of which more pins are owed than it has.
+type OwedError struct {
+	Owed, Pins int
+}
+
+func (e *OwedError) Error() string {
+	return fmt.Sprintf("flow batch: %d pins owed, %d sent", e.Owed, e.Pins)
+}
+
 // Marshal encodes b.
 func Marshal(b flow.Batch) ([]byte, error) {
 	m := &Batch{
 		From: b.From, Life: b.Life, Session: b.Session, Seq: b.Seq,
 		AckSession: b.AckSession, Ack: b.Ack, Newest: b.Newest, Hello: b.Hello,
-		Groups: groups(b.Pins), Known: groups(b.Known),
+		Groups: groups(b.Pins), Known: groups(b.Known), Owed: uint32(b.Owed),
 	}
 	for _, k := range b.Marks {
 		m.Marks = append(m.Marks, &Mark{Epoch: k.Epoch, Step: uint32(k.Step)})
@@ -49,6 +58,10 @@
 		AckSession: m.GetAckSession(), Ack: m.GetAck(), Newest: m.GetNewest(), Hello: m.GetHello(),
 	}
 	b.Pins, b.Known = pins(m.GetGroups()), pins(m.GetKnown())
+	b.Owed = int(m.GetOwed())
+	if b.Owed > len(b.Pins) {
+		return flow.Batch{}, &OwedError{Owed: b.Owed, Pins: len(b.Pins)}
+	}
 	for _, k := range m.GetMarks() {
 		if k.GetStep() < uint32(flow.StepTold) || k.GetStep() > uint32(flow.StepDecided) {
 			return flow.Batch{}, &StepError{Step: k.GetStep()}
--- a/flow/flowpb/codec_test.go
+++ b/flow/flowpb/codec_test.go
@@ -29,6 +29,7 @@
 		if rapid.Bool().Draw(t, "leaving") {
 			b.Known, b.Pins = b.Pins, nil
 		}
+		b.Owed = rapid.IntRange(0, len(b.Pins)).Draw(t, "owed")
 		for range rapid.IntRange(0, 16).Draw(t, "marks") {
 			b.Marks = append(b.Marks, flow.Mark{
 				Epoch: uint64(rapid.Uint32().Draw(t, "epoch")), Step: flow.Step(rapid.IntRange(1, 3).Draw(t, "step")),
@@ -63,3 +64,12 @@
 	qt.Assert(t, errors.As(err, &want), qt.IsTrue)
 	qt.Assert(t, want.Step, qt.Equals, uint32(9))
 }
+
+func TestUnmarshalRefusesMoreOwedThanPins(t *testing.T) {
+	data, err := proto.Marshal(&flowpb.Batch{Owed: 1})
+	qt.Assert(t, err, qt.IsNil)
+	_, err = flowpb.Unmarshal(data)
+	var want *flowpb.OwedError
+	qt.Assert(t, errors.As(err, &want), qt.IsTrue)
+	qt.Assert(t, want.Owed, qt.Equals, 1)
+}
--- a/flow/overlap_test.go
+++ b/flow/overlap_test.go
@@ -50,6 +50,20 @@
 			{4 * time.Millisecond, "drain", 26},
 		},
 	},
+	{
+		// A leaving member owed a pin to a home that took it for the home's own word.
+		name: "pin owed by a former home", seed: 0xd, domains: 2, balancers: 5,
+		uneven: 4 * time.Second, jitter: 3 * time.Millisecond, loss: 0.02,
+		changes: []step{
+			{time.Millisecond, "undrain", 10},
+			{690 * time.Millisecond, "join", 26},
+			{38 * time.Millisecond, "leave", 0},
+			{5316 * time.Millisecond, "join", 12},
+			{3 * time.Millisecond, "add", 21},
+			{time.Millisecond, "leave", 30},
+			{1159 * time.Millisecond, "add", 2},
+		},
+	},
 }
 
 func TestOverlappingChangesBreakNoFlow(t *testing.T) {
--- a/flow/peer.go
+++ b/flow/peer.go
@@ -10,7 +10,7 @@
 	marks [StepDecided + 1]uint64
 	// marked holds the newest epoch of each step that the peer was told.
 	marked  [StepDecided + 1]uint64
-	pins    []Pin
+	pins    []queuedPin
 	known   []Pin
 	queued  []queuedMark
 	waiting Batch
@@ -27,6 +27,12 @@
 	helloAt    time.Duration
 }
 
+// queuedPin is a pin to be sent; owed says that the peer has to tell it on.
+type queuedPin struct {
+	pin  Pin
+	owed bool
+}
+
 // queuedMark is sent once the pins that were queued before it are sent.
 type queuedMark struct {
 	mark  Mark
@@ -46,7 +52,11 @@
 }
 
 func (p *peer) tell(pin Pin) {
-	p.pins = append(p.pins, pin)
+	p.pins = append(p.pins, queuedPin{pin: pin})
+}
+
+func (p *peer) pay(pin Pin) {
+	p.pins = append(p.pins, queuedPin{pin: pin, owed: true})
 }
 
 func (p *peer) mark(m Mark) {
@@ -69,7 +79,8 @@
 func (p *peer) take() {
 	n := min(len(p.pins), maxBatchPins)
 	p.seq++
-	p.waiting = Batch{Session: p.session, Seq: p.seq, Pins: p.pins[:n:n]}
+	pins, owed := sortedByOwed(p.pins[:n])
+	p.waiting = Batch{Session: p.session, Seq: p.seq, Pins: pins, Owed: owed}
 	p.pins = p.pins[n:]
 	if n == 0 {
 		n := min(len(p.known), maxBatchPins)
@@ -88,6 +99,22 @@
 	p.queued = rest
 }
 
+// sortedByOwed returns the pins, owed ones last, and the number of these.
+func sortedByOwed(queued []queuedPin) (pins []Pin, owed int) {
+	for _, q := range queued {
+		if !q.owed {
+			pins = append(pins, q.pin)
+		}
+	}
+	told := len(pins)
+	for _, q := range queued {
+		if q.owed {
+			pins = append(pins, q.pin)
+		}
+	}
+	return pins, len(pins) - told
+}
+
 // ahead notes whether the peer follows a newer epoch.
 func (p *peer) ahead(now time.Duration, is bool) {
 	switch {
--- a/flow/settle.go
+++ b/flow/settle.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		for _, pin := range sortedPins(g.owed[n]) {
-			p.tell(pin)
+			p.pay(pin)
 		}
 		delete(g.owed, n)
 		p.mark(Mark{Epoch: number, Step: StepOwed})
@@ -264,28 +264,28 @@
 	if len(b.Known) > 0 {
 		g.emit(LearnKnown{Known: b.Known})
 	}
-	g.learn(p, b.Pins)
+	g.learn(p, b)
 	g.wake(now)
 }
 
-// learn takes pins: those of a home are final, those that a home is told by
-// another member are passed on. Of others this member will be the home in an
-// epoch to which the sender is ahead; they are told to all when it gets there.
-func (g *Generations) learn(from *peer, pins []Pin) {
-	if len(pins) == 0 || len(g.live) == 0 {
+// learn takes the pins of a batch: those of a home are final, those that this
+// member is owed as their home are passed on. As long as this member has not come
+// to the epoch in which it is their home, they stay owed.
+func (g *Generations) learn(from *peer, b Batch) {
+	if len(b.Pins) == 0 || len(g.live) == 0 {
 		return
 	}
 	var told, owed []Pin
 	skip := g.skip()
-	for _, pin := range pins {
+	for i, pin := range b.Pins {
 		delete(g.owed[from.member.Name], pin.Hash)
-		switch g.homeOf(pin.Hash, skip) {
-		case from.member.Name:
-			told = append(told, pin)
-		case g.cfg.Self:
-			told = append(told, pin)
+		home := g.homeOf(pin.Hash, skip) == g.cfg.Self
+		if home {
 			g.relay(from, pin)
-		default:
+		}
+		if home || i < len(b.Pins)-b.Owed {
+			told = append(told, pin)
+		} else {
 			owed = append(owed, pin)
 		}
 	}
