Remove the entries of hosts that are gone

Change: hosts renew their entries every ten minutes; a reader removes one that four listings in a row show unchanged, on condition of its revision; hosts forget who is neither listed nor heard for a minute. Weighed: a slow heartbeat between hosts (a cut domain would look dead to the others, though it reaches the store). Figures: TestRoster..., TestForgetsHostsThatLeft and TestRemovesEntriesLeftBehind green, the last two fail without the change (they do not build, or wait in vain).

--- a/host/control.go
+++ b/host/control.go
@@ -84,7 +84,7 @@
 	notes := make(chan heard, noteQueue)
 	members := make(chan []reader.Member)
 	go h.hear(ctx, conn, notes)
-	go h.findMembers(ctx, self, members)
+	go h.newMembership(self, members).run(ctx)
 	first := !h.cfg.Boot.FirstStart
 	go (&feed{h: h, kind: platform.KindConfig, pause: routesPause}).run(ctx, first)
 	go (&feed{h: h, kind: platform.KindTargets, pause: targetsPause}).run(ctx, first)
--- a/host/host.go
+++ b/host/host.go
@@ -42,6 +42,9 @@
 	Seed uint64
 	// Monitor is the address of metrics, health and dump; an invalid one means none.
 	Monitor netip.AddrPort
+	// RenewEvery is the time between two renewals of the host's entry in the store,
+	// about; 0 is the default of ten minutes.
+	RenewEvery time.Duration
 	// LinesLeft returns the number of log lines that were left out; nil means that
 	// none can be.
 	LinesLeft func() int64
@@ -95,6 +98,9 @@
 
 // New opens the sockets of a host.
 func New(cfg Config) (*Host, error) {
+	if cfg.RenewEvery == 0 {
+		cfg.RenewEvery = renewEvery
+	}
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Boot.Packets))
 	if err != nil {
 		return nil, &StartError{Part: "packets", Address: cfg.Boot.Packets.String(), Err: err}
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -227,3 +227,26 @@
 	_, err = host.New(cfg)
 	qt.Assert(t, err, qt.ErrorAs, new(*host.StartError))
 }
+
+// TestRemovesEntriesLeftBehind leaves the entry of a host that never comes back
+// in the store, and one of a host that renews it.
+func TestRemovesEntriesLeftBehind(t *testing.T) {
+	s := newSystem(t, 61)
+	ctx := context.Background()
+	store := platform.NewStore(platform.StoreConfig{URL: s.store.URL})
+	left := platform.HostSpec{Address: "127.250.3.99:7410", Domain: "west-a"}
+	qt.Assert(t, store.Set(ctx, platform.KindHosts, "left", left), qt.IsNil)
+	for i, b := range s.boots {
+		start(t, host.Config{Boot: b, Seed: uint64(i), RenewEvery: 300 * time.Millisecond})
+	}
+	names := func() string {
+		records, _, err := store.List(ctx, platform.KindHosts)
+		qt.Assert(t, err, qt.IsNil)
+		var all []string
+		for _, r := range records {
+			all = append(all, r.Name)
+		}
+		return strings.Join(all, " ")
+	}
+	await(t, "the removal", func() bool { return names() == s.boots[0].Name+" "+s.boots[1].Name })
+}
--- a/host/members.go
+++ b/host/members.go
@@ -2,47 +2,138 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/apex/log"
+
 	"wisteriaweir/platform"
 	"wisteriaweir/reader"
 )
 
-// settleAtFirst is how long a host that starts with all the others waits before
-// it lists them.
-const settleAtFirst = 1200 * time.Millisecond
+const (
+	// settleAtFirst is how long a host that starts with all the others waits before
+	// it lists them.
+	settleAtFirst = 1200 * time.Millisecond
+	// renewEvery is the time between two renewals of this host's entry, drawn anew
+	// each time, up to one part in renewSpread shorter or longer.
+	renewEvery  = 10 * time.Minute
+	renewSpread = 10
+)
+
+// membership keeps this host's entry in the store, and lists those of the others.
+type membership struct {
+	h    *Host
+	self reader.Member
+	out  chan<- []reader.Member
+	// renewals counts the renewals of this host's entry.
+	renewals uint64
+	roster   *reader.Roster
+	every    time.Duration
+}
 
-// findMembers announces this host in the store and lists the others. A host that
-// is new lists them after its announcement, so that of two that start at once one
-// finds the other and greets it.
-func (h *Host) findMembers(ctx context.Context, self reader.Member, out chan<- []reader.Member) {
-	if h.cfg.Boot.FirstStart {
-		h.try(ctx, "announce", func() error { return h.announce(ctx, self) })
+func (h *Host) newMembership(self reader.Member, out chan<- []reader.Member) *membership {
+	return &membership{h: h, self: self, out: out, roster: reader.NewRoster(), every: h.cfg.RenewEvery}
+}
+
+// run finds the other hosts, and then renews this host's entry and looks for new
+// hosts and for entries left behind until ctx ends.
+func (m *membership) run(ctx context.Context) {
+	m.find(ctx)
+	for platform.Sleep(ctx, m.pause()) == nil {
+		m.renewals++
+		m.announce(ctx)
+		m.pass(ctx, m.list(ctx))
+	}
+}
+
+// pause draws the time until the next renewal.
+func (m *membership) pause() time.Duration {
+	spread := m.every / renewSpread
+	return m.every - spread + rand.N(2*spread+1)
+}
+
+// find announces this host in the store and lists the others. A host that is new
+// lists them after its announcement, so that of two that start at once one finds
+// the other and greets it.
+func (m *membership) find(ctx context.Context) {
+	if m.h.cfg.Boot.FirstStart {
+		m.announce(ctx)
 		_ = platform.Sleep(ctx, settleAtFirst)
 	}
-	if slices.Contains(h.passMembers(ctx, out), self) {
+	members := m.list(ctx)
+	m.pass(ctx, members)
+	if slices.Contains(members, m.self) {
 		return
 	}
-	h.try(ctx, "announce", func() error { return h.announce(ctx, self) })
-	h.passMembers(ctx, out)
+	m.announce(ctx)
+	m.pass(ctx, m.list(ctx))
 }
 
-// passMembers lists the hosts and passes them on.
-func (h *Host) passMembers(ctx context.Context, out chan<- []reader.Member) []reader.Member {
-	var members []reader.Member
-	h.try(ctx, "members", func() error {
+// pass hands the listed hosts to the goroutine that owns what is believed.
+func (m *membership) pass(ctx context.Context, members []reader.Member) {
+	select {
+	case m.out <- members:
+	case <-ctx.Done():
+	}
+}
+
+// announce writes this host's entry.
+func (m *membership) announce(ctx context.Context) {
+	spec := platform.HostSpec{
+		Address: m.self.At.String(), Domain: m.self.Domain, Strong: m.self.Strong, Renewals: m.renewals,
+	}
+	m.h.try(ctx, "announce", func() error {
+		return m.h.store.Load().Set(ctx, platform.KindHosts, m.self.Name, spec)
+	})
+}
+
+// list reads the entries of all hosts. One that reads the store for others also
+// removes those left behind.
+func (m *membership) list(ctx context.Context) []reader.Member {
+	var records []platform.Record
+	m.h.try(ctx, "members", func() error {
 		var err error
-		members, err = h.listMembers(ctx)
+		records, _, err = m.h.store.Load().List(ctx, platform.KindHosts)
 		return err
 	})
-	select {
-	case out <- members:
-	case <-ctx.Done():
+	var members []reader.Member
+	entries := make([]reader.Entry, 0, len(records))
+	for _, r := range records {
+		entries = append(entries, reader.Entry{Name: r.Name, Revision: r.Revision})
+		spec, at, err := platform.ParseHost(r)
+		if err != nil {
+			m.h.log.WithError(err).Warn("host: entry of a host not used")
+			continue
+		}
+		members = append(members, reader.Member{Name: r.Name, Domain: spec.Domain, At: at, Strong: spec.Strong})
+	}
+	stale := m.roster.Take(entries)
+	if !m.h.reading.Load() {
+		return members
+	}
+	for _, e := range stale {
+		if m.remove(ctx, e) {
+			members = slices.DeleteFunc(members, func(x reader.Member) bool { return x.Name == e.Name })
+		}
 	}
 	return members
 }
 
+// remove removes the entry of a host that is gone, unless it was renewed since,
+// and reports whether it did.
+func (m *membership) remove(ctx context.Context, e reader.Entry) bool {
+	err := m.h.store.Load().Remove(ctx, platform.KindHosts, e.Name, e.Revision)
+	l := m.h.log.WithFields(log.Fields{"entry": e.Name, "revision": e.Revision})
+	if err != nil {
+		l.WithError(err).Warn("host: entry of a host that is gone not removed")
+		return false
+	}
+	l.Info("host: entry of a host that is gone removed")
+	return true
+}
+
 // try repeats a call to the store until it succeeds.
 func (h *Host) try(ctx context.Context, what string, call func() error) {
 	for failures := 1; ctx.Err() == nil; failures++ {
@@ -56,26 +147,3 @@
 		_ = platform.Sleep(ctx, h.backoff.After(failures))
 	}
 }
-
-func (h *Host) announce(ctx context.Context, self reader.Member) error {
-	return h.store.Load().Set(ctx, platform.KindHosts, self.Name, platform.HostSpec{
-		Address: self.At.String(), Domain: self.Domain, Strong: self.Strong,
-	})
-}
-
-func (h *Host) listMembers(ctx context.Context) ([]reader.Member, error) {
-	records, _, err := h.store.Load().List(ctx, platform.KindHosts)
-	if err != nil {
-		return nil, err
-	}
-	var members []reader.Member
-	for _, r := range records {
-		spec, at, err := platform.ParseHost(r)
-		if err != nil {
-			h.log.WithError(err).Warn("host: entry of a host not used")
-			continue
-		}
-		members = append(members, reader.Member{Name: r.Name, Domain: spec.Domain, At: at, Strong: spec.Strong})
-	}
-	return members, nil
-}
--- a/reader/fleet_test.go
+++ b/reader/fleet_test.go
@@ -323,3 +323,32 @@
 	f.check(nil)
 	qt.Assert(t, f.whole, qt.Equals, 0)
 }
+
+// TestForgetsHostsThatLeft lists a fleet without the hosts that ended: they are
+// told nothing more. A host that the list lacks but that is heard stays known.
+func TestForgetsHostsThatLeft(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	f.run(5 * time.Second)
+	dead, unlisted := f.hosts[0], f.hosts[1]
+	dead.down = true
+	f.run(2 * time.Minute)
+	var listed []reader.Member
+	for _, h := range f.hosts {
+		if h != dead && h != unlisted {
+			listed = append(listed, h.Member)
+		}
+	}
+	for range 2 {
+		for _, h := range f.hosts {
+			if !h.down {
+				f.perform(h, h.core.Hear(f.now, unlisted.Member, reader.Hello{}))
+				f.perform(h, h.core.SetMembers(f.now, listed))
+			}
+		}
+		f.run(time.Second)
+	}
+	for _, h := range f.hosts[2:] {
+		qt.Assert(t, h.core.Members(), qt.Not(qt.Contains), dead.Member)
+		qt.Assert(t, h.core.Members(), qt.Contains, unlisted.Member)
+	}
+}
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -28,6 +28,7 @@
 package reader
 
 import (
+	"maps"
 	"time"
 
 	"wisteriaweir/catalog"
@@ -44,6 +45,9 @@
 	// smallFleet is the largest fleet that is one group; in a larger one each
 	// failure domain is a group.
 	smallFleet = 120
+	// forgetAfter is how long a host that the store does not list is remembered after
+	// its last note.
+	forgetAfter = time.Minute
 )
 
 // Config configures a Core.
@@ -76,6 +80,8 @@
 	beat    Beat
 	heardAt time.Duration
 	heard   bool
+	// metAt is when any note came from it, or it was listed anew.
+	metAt time.Duration
 }
 
 // Core is the state of one host.
@@ -122,17 +128,21 @@
 	return c.catalog
 }
 
-// SetMembers takes in the list of hosts and greets those that are new.
+// SetMembers takes in the list of hosts, greets those that are new and forgets
+// those that are neither listed nor heard.
 func (c *Core) SetMembers(now time.Duration, members []Member) []Effect {
+	listed := map[string]bool{}
 	for _, m := range members {
+		listed[m.Name] = true
 		if m.Name == c.cfg.Self.Name {
 			continue
 		}
 		if p := c.peers[m.Name]; p == nil || p.At != m.At {
-			c.peers[m.Name] = &peer{Member: m, heardAt: now}
+			c.peers[m.Name] = &peer{Member: m, heardAt: now, metAt: now}
 			c.tell(m, Hello{})
 		}
 	}
+	maps.DeleteFunc(c.peers, func(name string, p *peer) bool { return !listed[name] && now-p.metAt > forgetAfter })
 	c.findGroup()
 	return c.take()
 }
@@ -211,6 +221,7 @@
 		c.peers[m.Name] = p
 		c.findGroup()
 	}
+	p.metAt = now
 	return p
 }
 
--- /dev/null
+++ b/reader/roster_test.go
@@ -0,0 +1,44 @@
+package reader_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"wisteriaweir/reader"
+)
+
+// listing returns entries named a, b, c and so on with the given revisions.
+func listing(revisions ...uint64) []reader.Entry {
+	var out []reader.Entry
+	for i, r := range revisions {
+		out = append(out, reader.Entry{Name: string(rune('a' + i)), Revision: r})
+	}
+	return out
+}
+
+func TestRosterRemovesWhatIsNotRenewed(t *testing.T) {
+	c := qt.New(t)
+	r := reader.NewRoster()
+	for i := range uint64(3) {
+		c.Assert(r.Take(listing(10+i, 5)), qt.HasLen, 0)
+	}
+	c.Assert(r.Take(listing(13, 5)), qt.DeepEquals, []reader.Entry{{Name: "b", Revision: 5}})
+}
+
+func TestRosterStartsAgainWithARenewal(t *testing.T) {
+	c := qt.New(t)
+	r := reader.NewRoster()
+	for _, l := range [][]reader.Entry{listing(5), listing(5), listing(5), listing(6), listing(6), listing(6)} {
+		c.Assert(r.Take(l), qt.HasLen, 0)
+	}
+	c.Assert(r.Take(listing(6)), qt.HasLen, 1)
+}
+
+func TestRosterStartsAgainWithAnEntryThatWasAway(t *testing.T) {
+	c := qt.New(t)
+	r := reader.NewRoster()
+	for _, l := range [][]reader.Entry{listing(5), listing(5), listing(5), nil, listing(5)} {
+		c.Assert(r.Take(l), qt.HasLen, 0)
+	}
+}
