Let the verdict on a dead target lapse 2 s after its last stall

Change: the verdict holds for 2 s after the last stall; the next request then goes through, one more stall is enough for another one. Ruled out: a late sign of life that was missed (the host had no flow on the target since the cut).

--- a/host/load.go
+++ b/host/load.go
@@ -30,7 +30,7 @@
 	if now-f.toldAt < f.loadWait {
 		return
 	}
-	l, wait := withinBudget(f.core.Load(), peers)
+	l, wait := withinBudget(f.core.Load(now), peers)
 	empty := len(l.Targets) == 0 && len(l.Dead) == 0
 	if empty && f.toldEmpty {
 		f.toldAt = now
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -21,6 +21,9 @@
 	// deadStalls is the number of flows that have to stall on a target, with no
 	// sign of life in between, before it counts as dead.
 	deadStalls = 2
+	// deadLife is the time after the last stall in which the verdict on a dead target
+	// holds. Then the next request shows whether the target answers again.
+	deadLife = 2 * time.Second
 	// judgeSpan is the span in which at least as many signs of life as stalls have to
 	// come, over all targets that do not count as dead: else the fault is more likely
 	// on this host's side.
@@ -37,6 +40,8 @@
 	// progressAt. Each sign of life starts a new round.
 	stalled int
 	round   uint32
+	// stalledAt is when a flow last got nothing back.
+	stalledAt time.Duration
 	// dead is the verdict that the target answers nobody.
 	dead bool
 }
@@ -77,6 +82,7 @@
 			c.stalls.add(now)
 		}
 	}
+	t.stalledAt = now
 	c.doubt(now, t)
 	if !t.dead && c.isDead(now, t) {
 		t.dead = true
@@ -85,6 +91,18 @@
 	}
 }
 
+// takeBack takes back the verdict on a dead target for which there is no evidence
+// of late. One stall is enough for another.
+func (c *Core) takeBack(now time.Duration, t *Target) {
+	if !t.dead || now-t.stalledAt < deadLife {
+		return
+	}
+	t.dead = false
+	t.stalled = deadStalls - 1
+	t.round++
+	c.notify(TargetUnproved, t)
+}
+
 // doubt keeps new flows away from a target for a while.
 func (c *Core) doubt(now time.Duration, t *Target) {
 	if !t.suspect(now) {
--- a/placement/neighbour.go
+++ b/placement/neighbour.go
@@ -45,14 +45,14 @@
 	at   time.Duration
 }
 
-// Load returns what this host's flows show.
-func (c *Core) Load() Load {
+// Load returns what this host's flows show at a time.
+func (c *Core) Load(now time.Duration) Load {
 	l := Load{Targets: map[uint32]TargetLoad{}}
 	for _, t := range c.order {
 		if tl := (TargetLoad{Busy: t.busy, Queued: t.opening + t.waiting.size()}); tl != (TargetLoad{}) {
 			l.Targets[t.Stamp] = tl
 		}
-		if t.dead {
+		if t.dead && now-t.stalledAt < deadLife {
 			l.Dead = append(l.Dead, t.Stamp)
 		}
 	}
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -19,6 +19,7 @@
 	TargetSuspect  Event = "target suspect"
 	TargetDead     Event = "target dead"
 	TargetAlive    Event = "target alive"
+	TargetUnproved Event = "target no longer known as dead"
 )
 
 // Notice is one change of what is believed of a target.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -252,6 +252,7 @@
 // handleRequest decides on data from the caller: a new request, more of one, or
 // a repetition of what the target has not acknowledged.
 func (c *Core) handleRequest(now time.Duration, f *flow, p packet.Packet, datagram []byte) Decision {
+	c.takeBack(now, f.target)
 	if f.target.dead && f.kind == route.Safe {
 		c.notifyFlow(FlowNotice{Event: FlowReset, Flow: f.key, Target: f.target, Reason: DeadTarget})
 		c.drop(f)
--- a/placement/property_test.go
+++ b/placement/property_test.go
@@ -53,7 +53,7 @@
 			case 4:
 				w.core.Tick(w.now)
 			case 5:
-				w.core.SetNeighbour(w.now, "n", w.core.Load())
+				w.core.SetNeighbour(w.now, "n", w.core.Load(w.now))
 			default:
 				w.data()
 			}
@@ -160,7 +160,7 @@
 }
 
 func (w *world) check() {
-	for stamp, l := range w.core.Load().Targets {
+	for stamp, l := range w.core.Load(w.now).Targets {
 		if l.Busy < 0 || l.Queued < 0 {
 			w.t.Fatalf("load %+v of %s", l, w.stamps[stamp])
 		}
