Keep new flows off targets that fail a part of their requests

A trace of the callers' packets showed four signs: an end before any answer, no packet at all after the request, a short answer, an end at the deadline. Change: outcomes are counted by these signs, halved each second, told to the other hosts for outliers, and compared with the median of the pool; a target that fails gets no new flows for 2 s after the last sign, a third of a pool at most; nothing is reset.

--- a/host/control.go
+++ b/host/control.go
@@ -27,6 +27,10 @@
 	// verdictHosts is the largest number of other hosts that are told of a verdict
 	// across failure domains.
 	verdictHosts = 24
+	// verdictEvery is the time after which a verdict that holds is told again, doubtEvery
+	// the least time between words on targets on which more has failed.
+	verdictEvery = time.Second
+	doubtEvery   = 150 * time.Millisecond
 	// noteQueue is the number of datagrams from other hosts that may wait.
 	noteQueue = 256
 	// strongProcessor and strongLink are the share of a core and the Mbit/s from
@@ -47,8 +51,9 @@
 	core    *reader.Core
 	encoder *reader.Encoder
 	conn    *net.UDPConn
-	// dead are the stamps of the targets that this host last called dead.
-	dead []uint32
+	// verdicts are those on targets that this host told last, at verdictsAt.
+	verdicts   placement.Load
+	verdictsAt time.Duration
 	// outbox holds datagrams of large contents, which go out at a pace that leaves
 	// the link to the packets.
 	outbox []outgoing
@@ -148,7 +153,7 @@
 }
 
 // tellLoad tells the load to the other hosts of the failure domain, and verdicts
-// that are new to all hosts that share readers.
+// to all hosts that share readers.
 func (c *control) tellLoad(l placement.Load) {
 	neighbours := c.core.Neighbours()
 	if len(neighbours) > loadHosts {
@@ -159,18 +164,40 @@
 	for _, m := range neighbours {
 		c.tell(reader.Tell{To: m, Note: reader.Load{Load: l}})
 	}
+	c.tellVerdicts(placement.Load{Dead: l.Dead, Doubts: l.Doubts})
+}
+
+// tellVerdicts tells verdicts on targets to the hosts of other failure domains that
+// share readers: those that are new, and each again as long as it holds.
+func (c *control) tellVerdicts(l placement.Load) {
 	slices.Sort(l.Dead)
-	news := len(l.Dead) > 0 && !slices.Equal(l.Dead, c.dead)
-	c.dead = l.Dead
+	now := c.h.now()
+	wait := verdictEvery
+	if !slices.Equal(l.Dead, c.verdicts.Dead) {
+		wait = 0
+	} else if failedMore(l.Doubts, c.verdicts.Doubts) {
+		wait = doubtEvery
+	}
 	group := c.core.Group()
-	if !news || len(group) > verdictHosts {
+	if len(l.Dead) == 0 && len(l.Doubts) == 0 || now-c.verdictsAt < wait || len(group) > verdictHosts {
 		return
 	}
+	c.verdicts, c.verdictsAt = l, now
 	for _, m := range group {
 		if m.Domain != c.h.cfg.Boot.Domain {
-			c.tell(reader.Tell{To: m, Note: reader.Load{Load: placement.Load{Dead: l.Dead}}})
+			c.tell(reader.Tell{To: m, Note: reader.Load{Load: l}})
+		}
+	}
+}
+
+// failedMore reports whether requests have failed since older doubts.
+func failedMore(newer, older map[uint32]placement.Doubt) bool {
+	for stamp, d := range newer {
+		if d.Failed > older[stamp].Failed {
+			return true
 		}
 	}
+	return false
 }
 
 // perform carries out what the core wants.
--- a/host/forward.go
+++ b/host/forward.go
@@ -110,7 +110,7 @@
 			if n.near {
 				f.core.SetNeighbour(f.h.now(), n.name, n.load)
 			} else {
-				f.core.SetVerdicts(f.h.now(), n.load.Dead)
+				f.core.SetVerdicts(f.h.now(), n.name, n.load)
 			}
 			f.perform()
 		case read := <-f.h.inspectFlows:
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -8,6 +8,8 @@
 	costDomain = 2.5
 	// costWarmup is added for a target that has just started.
 	costWarmup = 2
+	// costReturning is added for a target that failed a part of its requests lately.
+	costReturning = 2
 	// costOpen is that of an open flow without a request.
 	costOpen = 0.05
 	// costOpening is that of a flow whose request has not come yet.
@@ -54,7 +56,7 @@
 		return 3
 	case t.suspect(now) || t.deadTold(now):
 		return 2
-	case t == avoid:
+	case t == avoid || t.failing(now):
 		return 1
 	default:
 		return 0
@@ -71,5 +73,8 @@
 	if now < t.warmUntil {
 		cost += costWarmup
 	}
+	if t.returning(now) {
+		cost += costReturning
+	}
 	return cost
 }
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -38,6 +38,13 @@
 	asking bool
 	asked  time.Duration
 	busy   bool
+	// pending says that the outcome of the newest request is not known yet, request
+	// counts the requests; base is what the caller had got when it began, short says
+	// that the answer so far was counted as a failure for its size.
+	pending bool
+	short   bool
+	request uint32
+	base    uint32
 	// stalledIn is 1 above the round of its target's evidence in which the flow
 	// counts as stalled.
 	stalledIn uint32
@@ -161,6 +168,7 @@
 	if packet.After(p.Acked, f.acked) {
 		f.acked = p.Acked
 		f.urgency = timely
+		c.answer(now, f, p.Acked-f.base)
 		c.finish(now, f)
 		c.release(now, f.target)
 		progress = true
@@ -170,6 +178,7 @@
 	}
 	if p.Flags&(packet.Fin|packet.Rst) != 0 {
 		f.closed = true
+		c.giveUp(now, f)
 		f.held = nil
 		c.settle(f)
 		c.release(now, f.target)
--- a/placement/neighbour.go
+++ b/placement/neighbour.go
@@ -16,6 +16,8 @@
 	Targets map[uint32]TargetLoad
 	// Dead holds the stamps of targets that answer nobody.
 	Dead []uint32
+	// Doubts holds what is known of targets that fail a part of their requests.
+	Doubts map[uint32]Doubt
 }
 
 // AtLeast returns l without the targets of which less than n is busy or queued.
@@ -47,7 +49,7 @@
 
 // Load returns what this host's flows show at a time.
 func (c *Core) Load(now time.Duration) Load {
-	l := Load{Targets: map[uint32]TargetLoad{}}
+	l := Load{Targets: map[uint32]TargetLoad{}, Doubts: c.doubts(now)}
 	for _, t := range c.order {
 		if tl := (TargetLoad{Busy: t.busy, Queued: t.opening + t.waiting.size()}); tl != (TargetLoad{}) {
 			l.Targets[t.Stamp] = tl
@@ -62,7 +64,7 @@
 // SetNeighbour takes in the word of another host of the failure domain.
 func (c *Core) SetNeighbour(now time.Duration, name string, l Load) {
 	c.neighbours[name] = neighbour{load: l, at: now}
-	c.SetVerdicts(now, l.Dead)
+	c.SetVerdicts(now, name, l)
 	c.addNeighbours(now)
 	for _, t := range c.order {
 		if t.waiting.size() > 0 {
@@ -71,10 +73,11 @@
 	}
 }
 
-// SetVerdicts takes in the stamps of the targets that another host has found
-// dead.
-func (c *Core) SetVerdicts(now time.Duration, dead []uint32) {
-	for _, stamp := range dead {
+// SetVerdicts takes in which targets another host has found dead, and which it
+// doubts.
+func (c *Core) SetVerdicts(now time.Duration, name string, l Load) {
+	c.setDoubts(now, name, l.Doubts)
+	for _, stamp := range l.Dead {
 		if t := c.byStamp[stamp]; t != nil {
 			t.deadToldUntil = now + verdictLife
 		}
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -18,6 +18,7 @@
 	TargetCollides Event = "target stamp collides"
 	TargetSuspect  Event = "target suspect"
 	TargetDead     Event = "target dead"
+	TargetFailing  Event = "target fails a part"
 	TargetAlive    Event = "target alive"
 	TargetUnproved Event = "target no longer known as dead"
 )
@@ -86,7 +87,7 @@
 	Waiting int `json:"waiting"`
 	// Others is what the neighbours add.
 	Others TargetLoad `json:"others"`
-	// State is ready, draining, gone, suspect, dead or collides.
+	// State is ready, draining, gone, suspect, failing, dead or collides.
 	State string `json:"state"`
 }
 
@@ -102,6 +103,8 @@
 		s.State = "gone"
 	case t.suspect(now) || t.deadTold(now):
 		s.State = "suspect"
+	case t.failing(now):
+		s.State = "failing"
 	case t.Draining:
 		s.State = "draining"
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -117,8 +117,14 @@
 	requests   []request
 	answerMean time.Duration
 	expiredAt  time.Duration
+	// unanswered are the requests whose outcome is awaited, sizes the typical sizes
+	// of answers by the address of their service.
+	unanswered []unanswered
+	sizes      map[route.Address]answerSize
 	// neighbours are the other hosts of the failure domain by name.
 	neighbours map[string]neighbour
+	// told are the doubts on targets that other hosts have told, by their names.
+	told map[string]toldDoubts
 	// readyAt is when flows could first be placed.
 	readyAt time.Duration
 	ready   bool
@@ -144,7 +150,9 @@
 		flows:   map[packet.Flow]*flow{},
 
 		neighbours: map[string]neighbour{},
+		told:       map[string]toldDoubts{},
 		answerMean: answerFirst,
+		sizes:      map[route.Address]answerSize{},
 	}
 }
 
--- a/placement/progress.go
+++ b/placement/progress.go
@@ -31,6 +31,7 @@
 // begin counts a request as in progress.
 func (c *Core) begin(now time.Duration, f *flow) {
 	f.asking = true
+	c.watch(now, f)
 	if f.busy {
 		return
 	}
@@ -65,6 +66,7 @@
 // expire takes out requests whose answers have most likely come unseen.
 func (c *Core) expire(now time.Duration) {
 	c.expiredAt = now
+	c.judgeUnanswered(now)
 	var over []*Target
 	c.requests = slices.DeleteFunc(c.requests, func(r request) bool {
 		if !r.f.busy || r.f.asked != r.at {
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"flag"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -103,7 +105,9 @@
 //	open C ROUTE | copy C N | answer C | data C BYTES | again C | got C BYTES | fin C
 //	rest C          data of a request that is longer than one packet
 //	stray C STAMP   data with a stamp of its own
-//	others N NAME=BUSY/QUEUED ... [dead=NAME]    the word of a neighbour
+//	others N NAME=BUSY/QUEUED ... [dead=NAME] [doubt=NAME/GOOD/FAILED]    the word of a neighbour
+//	serve N ROUTE NAME=OUTCOME ...    N flows of one request each, 30 ms apart, and how many each target got; those
+//	                on a named target end by error (a short answer), quit (the caller gives up) or silence
 //	wait TIME       time passes, in steps of 10 ms, with no packet waiting
 //	outage          the store is away just now
 //	busy TIME       time passes, with packets waiting all the while
@@ -115,6 +119,8 @@
 		return r.targets(args)
 	case "others":
 		return r.others(args)
+	case "serve":
+		return r.serve(args)
 	case "wait":
 		return r.wait(args[0])
 	case "outage":
@@ -132,7 +138,7 @@
 		return fmt.Errorf("no caller %q", args[0])
 	}
 	n := 0
-	if len(args) > 1 {
+	if len(args) > 1 && args[1] != "" {
 		var err error
 		if n, err = strconv.Atoi(args[1]); err != nil {
 			return err
@@ -273,6 +279,77 @@
 	return nil
 }
 
+// serve runs one request on each of several flows, and prints what each target
+// got instead of each packet.
+func (r *runner) serve(args []string) error {
+	n, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	outcomes := map[string]string{}
+	for _, a := range args[2:] {
+		target, outcome, _ := strings.Cut(a, "=")
+		outcomes[target] = outcome
+	}
+	got := map[string]int{}
+	for range n {
+		name := fmt.Sprint("s", len(r.byName))
+		out := r.out
+		r.out = bytes.Buffer{}
+		if err := r.open(name, args[1]); err != nil {
+			return err
+		}
+		words := strings.Fields(r.out.String())
+		if words[2] != "to" {
+			return fmt.Errorf("flow not placed: %s", r.out.String())
+		}
+		id := words[3]
+		r.out = out
+		got[id]++
+		if err := r.request(r.byName[name], outcomes[id]); err != nil {
+			return err
+		}
+	}
+	var words []string
+	for _, id := range slices.Sorted(maps.Keys(got)) {
+		words = append(words, fmt.Sprintf("%s %d", id, got[id]))
+	}
+	r.printf("%d flows: %s", n, strings.Join(words, ", "))
+	return nil
+}
+
+// request sends one request on an opened flow, and ends it by an outcome. Only
+// what is believed of targets is printed.
+func (r *runner) request(c *caller, outcome string) error {
+	steps := [][2]string{{"answer"}, {"data", "100"}, {"got", "800"}, {"fin"}}
+	switch outcome {
+	case "error":
+		steps[2][1] = "200"
+	case "quit":
+		steps = slices.Delete(steps, 2, 3)
+	case "silence":
+		steps = steps[:2]
+	}
+	out := r.out.Len()
+	for _, s := range steps {
+		if err := r.line(s[0], []string{c.name, s[1]}); err != nil {
+			return err
+		}
+	}
+	if err := r.wait("30ms"); err != nil {
+		return err
+	}
+	var kept bytes.Buffer
+	kept.Write(r.out.Bytes()[:out])
+	for line := range strings.Lines(string(r.out.Bytes()[out:])) {
+		if strings.Contains(line, ": target") {
+			kept.WriteString(line)
+		}
+	}
+	r.out = kept
+	return nil
+}
+
 func (r *runner) others(args []string) error {
 	l := placement.Load{Targets: map[uint32]placement.TargetLoad{}}
 	for _, a := range args[1:] {
@@ -281,6 +358,16 @@
 			l.Dead = append(l.Dead, placement.StampOf(value))
 			continue
 		}
+		if name == "doubt" {
+			w := strings.Split(value, "/")
+			good, errG := strconv.ParseFloat(w[1], 64)
+			failed, errF := strconv.ParseFloat(w[2], 64)
+			if errG != nil || errF != nil {
+				return fmt.Errorf("doubt %q", a)
+			}
+			l.Doubts = map[uint32]placement.Doubt{placement.StampOf(w[0]): {Good: good, Failed: failed}}
+			continue
+		}
 		busy, queued, _ := strings.Cut(value, "/")
 		b, errB := strconv.Atoi(busy)
 		q, errQ := strconv.Atoi(queued)
--- a/placement/target.go
+++ b/placement/target.go
@@ -50,6 +50,10 @@
 	others        TargetLoad
 	deadToldUntil time.Duration
 	waiting       waitingRoom
+	// outcomes are those of the requests seen here; until failingUntil the target
+	// counts as one that fails a part of them.
+	outcomes     outcomes
+	failingUntil time.Duration
 	evidence
 }
 
@@ -110,6 +114,7 @@
 	}
 	if ct.Born != t.Born {
 		t.evidence = evidence{round: t.round + 1}
+		t.outcomes, t.failingUntil = outcomes{}, 0
 	}
 	if ct.Draining && !t.Draining {
 		t.drainingAt = now
--- a/reader/codec.go
+++ b/reader/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math"
 	"net/netip"
 	"time"
 
@@ -62,6 +63,11 @@
 			l.Busy = append(l.Busy, uint32(tl.Busy))
 			l.Queued = append(l.Queued, uint32(tl.Queued))
 		}
+		for stamp, d := range n.Doubts {
+			l.Doubted = append(l.Doubted, stamp)
+			l.Good = append(l.Good, tenths(d.Good))
+			l.Failed = append(l.Failed, tenths(d.Failed))
+		}
 		return e.single(&readerpb.Note{Body: &readerpb.Note_Load{Load: l}})
 	case Content:
 		return e.parts(n)
@@ -153,13 +159,20 @@
 }
 
 func loadNote(w *readerpb.Load) (Note, error) {
-	if len(w.Stamps) != len(w.Busy) || len(w.Stamps) != len(w.Queued) {
+	if len(w.Stamps) != len(w.Busy) || len(w.Stamps) != len(w.Queued) ||
+		len(w.Doubted) != len(w.Good) || len(w.Doubted) != len(w.Failed) {
 		return nil, &NoteError{Reason: "load of unequal lists"}
 	}
 	l := placement.Load{Targets: make(map[uint32]placement.TargetLoad, len(w.Stamps)), Dead: w.Dead}
 	for i, stamp := range w.Stamps {
 		l.Targets[stamp] = placement.TargetLoad{Busy: int(w.Busy[i]), Queued: int(w.Queued[i])}
 	}
+	for i, stamp := range w.Doubted {
+		if l.Doubts == nil {
+			l.Doubts = map[uint32]placement.Doubt{}
+		}
+		l.Doubts[stamp] = placement.Doubt{Good: float64(w.Good[i]) / perWeight, Failed: float64(w.Failed[i]) / perWeight}
+	}
 	return Load{Load: l}, nil
 }
 
@@ -308,6 +321,14 @@
 	return netip.AddrPortFrom(netip.AddrFrom4(b), uint16(port))
 }
 
+// perWeight is the number of units in which a weight of 1 is told.
+const perWeight = 10
+
+// tenths returns a weight in the units in which it is told.
+func tenths(weight float64) uint32 {
+	return uint32(math.Round(max(weight, 0) * perWeight))
+}
+
 func milliseconds(d time.Duration) uint32 {
 	return uint32(max(d, 0) / time.Millisecond)
 }
