--- a/cmd_measure.go
+++ b/cmd_measure.go
@@ -24,7 +24,6 @@
 		{name: "targets", run: measure.Targets},
 		{name: "requests", run: measure.Requests},
 		{name: "configs", run: measure.Configs},
-		{name: "capacity", run: measure.Capacity},
 	}
 }
 
@@ -33,7 +32,7 @@
 	return &cli.Command{
 		Name:      "measure",
 		Usage:     "run the decisions in virtual time and print the tables of the design notes",
-		ArgsUsage: "[flows|targets|requests|configs|capacity]...",
+		ArgsUsage: "[flows|targets|requests|configs]...",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "format", Value: string(measure.FormatText), Usage: "text, csv or json"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the runs"},
@@ -82,7 +81,7 @@
 			}
 		}
 		if !found {
-			return nil, usage(fmt.Sprintf("measure: no group %q: use flows, targets, requests, configs or capacity", name))
+			return nil, usage(fmt.Sprintf("measure: no group %q: use flows, targets, requests or configs", name))
 		}
 	}
 	return chosen, nil
--- a/measure/config_delta.go
+++ b/measure/config_delta.go
@@ -27,7 +27,7 @@
 		"members", "targets", "change", "whole B", "dictionary B", "sections B", "whole us", "dictionary us", "sections us")
 	for _, size := range deltaSizes {
 		services := max(size[1]/targetsOfService, 1)
-		s := capacityState(size[0], services, size[1]/services, seed)
+		s := releaseState(size[0], services, size[1]/services, seed)
 		for _, x := range []struct {
 			name   string
 			change func(rollout.State) rollout.State
--- /dev/null
+++ b/measure/config_release.go
@@ -0,0 +1,214 @@
+package measure
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+
+	"wisteriaweir/fleet"
+	"wisteriaweir/rollout"
+	"wisteriaweir/service"
+	"wisteriaweir/ticket"
+)
+
+const (
+	// releaseRuns is the number of times that a step about a release is repeated.
+	releaseRuns = 20
+	// releaseDomains is the number of failure domains of a state, releaseLife that of
+	// the first life of its members.
+	releaseDomains = 9
+	releaseLife    = 1 << 60
+)
+
+// releaseState returns the shared state of so many members, services and
+// targets of each service.
+func releaseState(members, services, targets int, seed uint64) rollout.State {
+	f := releaseFleet(members, services, seed)
+	cfg := releaseConfig(services, targets).WithNumber(f.Head.Number).WithDigest(f.Head.Digest)
+	return rollout.State{Fleet: f, Config: cfg}
+}
+
+// restarted returns s with the next number, in which one member begins to leave.
+func restarted(s rollout.State) rollout.State {
+	last := s.Fleet.Members[len(s.Fleet.Members)-1]
+	s.Fleet = s.Fleet.WithMember(last.WithState(fleet.StateLeaving)).WithNumber(s.Fleet.Number + 1)
+	return s
+}
+
+// drained returns s with the next number and ticket, in which one target of the
+// first service gets nothing new.
+func drained(s rollout.State) rollout.State {
+	v := s.Config.Services[0]
+	v = v.WithTarget(drain(v.Pool[len(v.Pool)/2]))
+	head := s.Fleet.Head
+	head.Number++
+	head.Digest, head.Ticket = head.Ticket, head.Digest
+	head.Services = maps.Clone(head.Services)
+	head.Services[v.Name] = ticket.Entry{Number: head.Number, Digest: head.Ticket}
+	s.Fleet = s.Fleet.WithHead(head).WithNumber(s.Fleet.Number + 1)
+	s.Config = s.Config.WithService(v).WithNumber(head.Number).WithDigest(head.Digest)
+	return s
+}
+
+func drain(t service.Target) service.Target {
+	t.Drain = true
+	return t
+}
+
+// releaseSize returns the bytes of a whole release.
+func releaseSize(s rollout.State) (float64, error) {
+	r, err := rollout.Pack(s)
+	if err != nil {
+		return 0, err
+	}
+	w, err := r.Whole()
+	return float64(len(w.Body)), err
+}
+
+// openTime returns the microseconds to open a whole release.
+func openTime(s rollout.State) (float64, error) {
+	r, err := rollout.Pack(s)
+	if err != nil {
+		return 0, err
+	}
+	w, err := r.Whole()
+	if err != nil {
+		return 0, err
+	}
+	return repeat(releaseRuns/4, func() error {
+		_, err := w.Open()
+		return err
+	})
+}
+
+// repeat returns the microseconds of f in the mean.
+func repeat(n int, f func() error) (float64, error) {
+	var err error
+	spent := micros(n, func() {
+		if e := f(); e != nil {
+			err = e
+		}
+	})
+	return spent, err
+}
+
+// releaseStep is a change of a state: the releases before and after it.
+type releaseStep struct {
+	before, after rollout.Release
+	delta         rollout.Delta
+}
+
+func newReleaseStep(s rollout.State, change func(rollout.State) rollout.State) (releaseStep, error) {
+	var out releaseStep
+	var err error
+	if out.before, err = rollout.Pack(s); err != nil {
+		return out, err
+	}
+	if out.after, err = rollout.Pack(change(s)); err != nil {
+		return out, err
+	}
+	var ok bool
+	if out.delta, ok = out.after.Since(out.before); !ok {
+		return out, &rollout.ReleaseError{Number: out.after.Number, Reason: "no delta"}
+	}
+	return out, nil
+}
+
+// deltaSize returns the bytes of what changed, digests included.
+func deltaSize(s rollout.State, change func(rollout.State) rollout.State) (float64, error) {
+	x, err := newReleaseStep(s, change)
+	d := x.delta
+	return float64(len(slices.Concat(d.Body, d.Sum)) + len(d.BaseDigest) + len(d.Digest)), err
+}
+
+// takeTime returns the microseconds in which a balancer takes what changed and
+// makes the delta for those below it.
+func takeTime(s rollout.State, change func(rollout.State) rollout.State) (float64, error) {
+	x, err := newReleaseStep(s, change)
+	if err != nil {
+		return 0, err
+	}
+	return repeat(releaseRuns, func() error {
+		r, err := x.before.With(x.delta)
+		if err == nil {
+			r.Since(x.before)
+		}
+		return err
+	})
+}
+
+// releaseFleet returns the fleet of so many active members and services.
+func releaseFleet(members, services int, seed uint64) fleet.Fleet {
+	rnd := rand.New(rand.NewPCG(seed, 9))
+	digest := func() string {
+		return fmt.Sprintf("%016x%016x%016x%016x", rnd.Uint64(), rnd.Uint64(), rnd.Uint64(), rnd.Uint64())
+	}
+	f := fleet.Fleet{Head: ticket.Head{
+		Number: 1, Ticket: digest(), Digest: digest(), Services: make(map[string]ticket.Entry),
+	}}
+	for s := range services {
+		name := releaseService(s, 0).Name
+		f.Head.Services[name] = ticket.Entry{Number: uint64(s + 1), Digest: digest()}
+	}
+	for d := range releaseDomains {
+		f.Head.Domains = append(f.Head.Domains, fmt.Sprintf("zone-%d", d))
+	}
+	for i := range members {
+		f.Members = append(f.Members, releaseMember(i, rnd.Uint64N(1<<30)))
+	}
+	for f.Holders.Number < 1 {
+		f, _ = f.Next(fleet.Proposal{Domain: "none"})
+	}
+	return f
+}
+
+func releaseMember(i int, life uint64) fleet.Member {
+	addr := netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)})
+	return fleet.Member{
+		Name:    fmt.Sprintf("balancer-%04d", i),
+		Domain:  fmt.Sprintf("zone-%d", i%releaseDomains),
+		Life:    releaseLife + life,
+		Control: netip.AddrPortFrom(addr, 7001),
+		Hop:     netip.AddrPortFrom(addr, 7002),
+		State:   fleet.StateActive,
+	}
+}
+
+// releaseService returns a service with one address and n targets.
+func releaseService(s, n int) service.Service {
+	name := fmt.Sprintf("service-%04d", s)
+	out := service.Service{Name: name, Addresses: []service.Address{{
+		At:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(s >> 8), byte(s)}), 5683),
+		Mode: service.ModeFlow,
+	}}}
+	for i := range n {
+		out.Pool = append(out.Pool, service.Target{
+			Name:   fmt.Sprintf("%s-%04d", name, i),
+			At:     netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(2 + s>>8), byte(s), byte(i)}), uint16(9000+i>>8)),
+			Domain: fmt.Sprintf("zone-%d", i%releaseDomains),
+			Weight: 100,
+			Slots:  2,
+		})
+	}
+	return out
+}
+
+// releaseConfig returns a configuration of services with so many targets each.
+func releaseConfig(services, targets int) service.Config {
+	all := make([]service.Service, services)
+	for s := range all {
+		all[s] = releaseService(s, targets)
+	}
+	return service.Config{}.WithNumber(1).WithServices(all)
+}
+
+// micros returns the processor time of one of n runs of f, in microseconds.
+func micros(n int, f func()) float64 {
+	start := processorTime()
+	for range n {
+		f()
+	}
+	return float64((processorTime() - start).Nanoseconds()) / 1e3 / float64(n)
+}
