Let requests wait here by windows, priority and age when targets are full

A host counted 2.4 requests on targets that held ten: it took requests for answered after a mean of quick answers, words of neighbours left out targets with fewer than four, and most went to other failure domains of which nothing is told. So hardly any waited here (54 of 6,438), and first come went first until all were late. What binds: requests on open flows cannot be rejected, and late ones go to the target in the end.

--- a/host/count.go
+++ b/host/count.go
@@ -41,6 +41,7 @@
 	placement.Incomplete:   "incomplete",
 	placement.DeadTarget:   "target_dead",
 	placement.Full:         "full",
+	placement.Overloaded:   "overloaded",
 	placement.Repeated:     "repeated",
 }
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -66,7 +66,7 @@
 // cost is the load of a target as this balancer sees it.
 func (c *Core) cost(now time.Duration, t *Target) float64 {
 	load := float64(t.load()+t.waiting.size()+t.others.Queued) + costOpening*float64(t.opening) + costOpen*float64(t.open)
-	cost := load * 2 / float64(t.Slots)
+	cost := load * 2 * windowSlots / t.window.size
 	if t.Domain != c.cfg.Domain {
 		cost += costDomain
 	}
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -12,6 +12,15 @@
 	// repeatAfter is the least time after which a caller sends again what was not
 	// acknowledged; sooner repetitions are packets that overtook each other.
 	repeatAfter = 150 * time.Millisecond
+	// patienceTimes is the number of usual answer times of a target after which a
+	// repetition counts as a stall, patienceMost bounds them: a caller repeats a request
+	// that waits in the queue of a busy target as well.
+	patienceTimes = 4
+	patienceMost  = time.Second
+	// tookShare is the weight of the newest answer in the usual time, tookFirst is that
+	// of a target which has not answered yet.
+	tookShare = 0.2
+	tookFirst = 40 * time.Millisecond
 	// answerWithin is the time after which an answer's sign should have come. Unless
 	// all packets were handled at some time after it, a sign may still be waiting in
 	// the socket: this host is slow, not the target.
@@ -42,10 +51,30 @@
 	round   uint32
 	// stalledAt is when a flow last got nothing back.
 	stalledAt time.Duration
+	// took is the usual time from a request to its answer, 0 before the first.
+	took time.Duration
 	// dead is the verdict that the target answers nobody.
 	dead bool
 }
 
+// answered takes in the time of an answer.
+func (e *evidence) answered(took time.Duration) {
+	e.took = e.usual() + time.Duration(tookShare*float64(took-e.usual()))
+}
+
+// usual returns the usual time of an answer.
+func (e *evidence) usual() time.Duration {
+	if e.took == 0 {
+		return tookFirst
+	}
+	return e.took
+}
+
+// patience returns the time after which a repetition of a request counts.
+func (e *evidence) patience() time.Duration {
+	return max(repeatAfter, min(patienceTimes*e.usual(), patienceMost))
+}
+
 // suspect reports whether new flows stay away from the target.
 func (e *evidence) suspect(now time.Duration) bool {
 	return now < e.suspectUntil
@@ -72,7 +101,7 @@
 // behind with its packets.
 func (c *Core) stall(now time.Duration, f *flow) {
 	t := f.target
-	if now-f.sent < repeatAfter || t.progressAt > f.sent || c.drainedAt < f.sent+answerWithin {
+	if now-f.sent < t.patience() || t.progressAt > f.sent || c.drainedAt < f.sent+answerWithin {
 		return
 	}
 	if f.stalledIn != t.round+1 {
--- a/placement/outcome.go
+++ b/placement/outcome.go
@@ -113,6 +113,8 @@
 	case f.pending:
 		f.pending, f.short = false, short
 		c.sizes[at] = typical.with(size)
+		f.target.answered(now - f.sent)
+		c.resize(now, f, short)
 		if short {
 			c.fail(now, f.target)
 			return
@@ -127,6 +129,20 @@
 	}
 }
 
+// resize fits the window of a target to an answer.
+func (c *Core) resize(now time.Duration, f *flow, short bool) {
+	t := f.target
+	objective, _ := c.times(f)
+	switch {
+	case short:
+		t.window.shrink(now, windowRefused)
+	case float64(now-f.sent) > slowShare*float64(objective):
+		t.window.shrink(now, windowSlow)
+	default:
+		t.window.grow(t.Slots)
+	}
+}
+
 // giveUp takes in that the caller of f has ended the flow before any answer.
 func (c *Core) giveUp(now time.Duration, f *flow) {
 	if f.pending {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -76,6 +76,8 @@
 	Full
 	// Repeated: the packet repeats one that the core keeps.
 	Repeated
+	// Overloaded: more requests wait for each target than can be answered in time.
+	Overloaded
 )
 
 // Config configures a Core.
@@ -112,11 +114,9 @@
 	// holds are the requests that wait for their targets, the oldest in front.
 	holds []*held
 	due   []Effect
-	// requests are those in progress, the oldest in front, answerMean their mean
-	// time.
-	requests   []request
-	answerMean time.Duration
-	expiredAt  time.Duration
+	// requests are those in progress, the oldest in front.
+	requests  []request
+	expiredAt time.Duration
 	// unanswered are the requests whose outcome is awaited, sizes the typical sizes
 	// of answers by the address of their service.
 	unanswered []unanswered
@@ -151,7 +151,6 @@
 
 		neighbours: map[string]neighbour{},
 		told:       map[string]toldDoubts{},
-		answerMean: answerFirst,
 		sizes:      map[route.Address]answerSize{},
 	}
 }
@@ -196,6 +195,9 @@
 	if t == nil {
 		return c.reject(p, NoTarget)
 	}
+	if t.swamped(r.Priority) {
+		return c.reject(p, Overloaded)
+	}
 	if len(c.flows) >= c.cfg.MaxFlows {
 		return c.reject(p, Full)
 	}
--- a/placement/progress.go
+++ b/placement/progress.go
@@ -8,15 +8,8 @@
 const (
 	// expireEvery is the time between two searches for answers that came unseen.
 	expireEvery = 10 * time.Millisecond
-	// answerShare is the weight of the newest answer in the mean time of answers.
-	answerShare = 0.05
-	// answerFirst is the mean time of answers before any was seen.
-	answerFirst = 40 * time.Millisecond
-	// busyTimes is how many mean times a request counts as in progress, beside
-	// those of the requests before it: a caller does not acknowledge an answer of
-	// one packet, so its end is not seen.
-	busyTimes = 2
-	// busyMost bounds the time for which it counts.
+	// busyMost bounds the time for which a request counts as in progress: callers show
+	// most answers within 100 ms, but not those that come through another host.
 	busyMost = 400 * time.Millisecond
 )
 
@@ -37,10 +30,8 @@
 	}
 	f.busy = true
 	f.asked = now
-	t := f.target
-	t.busy++
-	span := c.answerMean*busyTimes + c.answerMean*time.Duration(t.load())/time.Duration(t.Slots)
-	c.requests = append(c.requests, request{f: f, at: now, until: now + min(span, busyMost)})
+	f.target.busy++
+	c.requests = append(c.requests, request{f: f, at: now, until: now + busyMost})
 }
 
 // finish ends the request that is in progress on f: the caller has got more of
@@ -49,7 +40,6 @@
 	if f.busy {
 		took := now - f.asked
 		c.notifyFlow(FlowNotice{Event: RequestDone, Flow: f.key, Target: f.target, Took: took})
-		c.answerMean += time.Duration(answerShare * float64(took-c.answerMean))
 	}
 	f.asking = false
 	c.settle(f)
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -100,7 +100,7 @@
 
 // line runs one command:
 //
-//	routes NAME=SERVICE:KIND ...    the routing table
+//	routes NAME=SERVICE:KIND[:low] ...    the routing table
 //	targets NAME:SERVICE:DOMAIN[:drain|:warm] ...    all targets
 //	open C ROUTE | copy C N | answer C | data C BYTES | again C | got C BYTES | fin C
 //	rest C          data of a request that is longer than one packet
@@ -237,15 +237,19 @@
 	var routes []route.Route
 	for i, a := range args {
 		name, rest, _ := strings.Cut(a, "=")
-		service, kind, ok := strings.Cut(rest, ":")
-		if !ok {
+		words := strings.Split(rest, ":")
+		if len(words) < 2 {
 			return fmt.Errorf("route %q", a)
 		}
+		service, kind, priority := words[0], words[1], 0
+		if len(words) > 2 && words[2] == "low" {
+			priority = 1
+		}
 		port := uint16(80 + i)
 		r.ports[name] = port
 		routes = append(routes, route.Route{
 			Name: name, At: route.Address{IP: 0xc6120001, Port: port}, Kind: route.Kind(kind),
-			Shares: []route.Share{{Service: service, Weight: 1}},
+			Shares: []route.Share{{Service: service, Weight: 1}}, Priority: priority,
 		})
 	}
 	r.revision++
--- a/placement/target.go
+++ b/placement/target.go
@@ -49,6 +49,8 @@
 	others        TargetLoad
 	deadToldUntil time.Duration
 	waiting       waitingRoom
+	// window bounds the requests in progress of this host.
+	window window
 	// outcomes are those of the requests seen here; until failingUntil the target
 	// counts as one that fails a part of them.
 	outcomes     outcomes
@@ -119,7 +121,7 @@
 	t := c.targets[id]
 	regrouped := t == nil || t.Service != ct.Service || t.Born != ct.Born
 	if t == nil {
-		t = &Target{Stamp: StampOf(id)}
+		t = &Target{Stamp: StampOf(id), window: newWindow(ct.Slots)}
 		c.targets[id] = t
 		t.Target = ct
 		t.warmUntil = now + ct.Warmup
@@ -130,7 +132,7 @@
 	}
 	if ct.Born != t.Born {
 		t.evidence = evidence{round: t.round + 1}
-		t.outcomes, t.failingUntil = outcomes{}, 0
+		t.outcomes, t.failingUntil, t.window = outcomes{}, 0, newWindow(ct.Slots)
 	}
 	if ct.Draining && !t.Draining {
 		t.drainingAt = now
--- a/placement/waiting.go
+++ b/placement/waiting.go
@@ -15,12 +15,20 @@
 	queueTimely = 4
 	queueLate   = 3
 	queueAhead  = 2
-	// holdMost bounds the time for which a request waits for its target; the target
-	// decides then. One that is late already waits longer.
-	holdMost     = 400 * time.Millisecond
-	holdMostLate = 900 * time.Millisecond
+	// holdShare is the part of a route's timeout for which a request waits for its
+	// target at most; the target decides then. timeoutDefault is that of a route which
+	// names none.
+	holdShare      = 0.45
+	timeoutDefault = time.Second
 	// holdPackets bounds the packets of one request that wait.
 	holdPackets = 4
+	// swampedTimes is the number of windows of requests that may wait for a target
+	// before new flows are rejected.
+	swampedTimes = 1
+	// waitShare is the part of an objective that a request may wait here and still be
+	// answered in time; objectiveDefault is that of a route which names none.
+	waitShare        = 1.0 / 3
+	objectiveDefault = 200 * time.Millisecond
 	// returnSpan is the time after the start of this host in which the first data
 	// on a flow is likely to be a repetition from before the start.
 	returnSpan = 800 * time.Millisecond
@@ -30,7 +38,9 @@
 type urgency uint8
 
 const (
-	// timely requests have come just now; the first goes first.
+	// timely requests can still be answered in time; the first goes first, but the
+	// last once the first has used up half of its wait: then not all can be, and the
+	// newest are the likeliest.
 	timely urgency = iota
 	// unknown ones may be under way for long; the last goes first, as it is the
 	// likeliest to be answered in time.
@@ -41,9 +51,13 @@
 
 // held is a request that waits for its target.
 type held struct {
-	f         *flow
-	at        time.Duration
-	until     time.Duration
+	f     *flow
+	at    time.Duration
+	until time.Duration
+	// goodUntil is when it can no longer be answered in time.
+	goodUntil time.Duration
+	// priority is that of the route, 0 goes first.
+	priority  int
 	datagrams [][]byte
 }
 
@@ -58,6 +72,19 @@
 	return len(r.timely) + len(r.unknown) + len(r.late)
 }
 
+// before counts the requests of a priority, or a better one.
+func (r *waitingRoom) before(priority int) int {
+	n := 0
+	for _, list := range [][]*held{r.timely, r.unknown, r.late} {
+		for _, h := range list {
+			if h.priority <= priority {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (r *waitingRoom) add(h *held, u urgency) {
 	switch u {
 	case timely:
@@ -70,29 +97,61 @@
 }
 
 // next takes out the request that goes next, nil if there is none.
-func (r *waitingRoom) next() *held {
+func (r *waitingRoom) next(now time.Duration) *held {
 	for r.size() > 0 {
-		if h := r.pop(); h.f.held == h {
+		if h := r.pop(now); h.f.held == h {
 			return h
 		}
 	}
 	return nil
 }
 
-func (r *waitingRoom) pop() *held {
-	var h *held
+// pop takes out the request that goes next by class: timely ones, then unknown ones,
+// then late ones; those of routes of a better priority first in each class.
+func (r *waitingRoom) pop(now time.Duration) *held {
+	r.demote(now)
 	switch {
 	case len(r.timely) > 0:
-		h, r.timely = r.timely[0], r.timely[1:]
+		return takeBest(&r.timely, r.timely[0].halfGone(now))
 	case len(r.unknown) > 0:
-		last := len(r.unknown) - 1
-		h, r.unknown = r.unknown[last], r.unknown[:last]
+		return takeBest(&r.unknown, true)
 	default:
-		h, r.late = r.late[0], r.late[1:]
+		return takeBest(&r.late, false)
 	}
+}
+
+// demote makes timely requests late that can no longer be answered in time.
+func (r *waitingRoom) demote(now time.Duration) {
+	r.timely = slices.DeleteFunc(r.timely, func(h *held) bool {
+		if now < h.goodUntil {
+			return false
+		}
+		r.late = append(r.late, h)
+		return true
+	})
+}
+
+// takeBest takes out a request of the best priority in a list: the newest of them, or
+// the oldest.
+func takeBest(list *[]*held, newest bool) *held {
+	best := 0
+	for i, h := range *list {
+		p := (*list)[best].priority
+		if h.priority < p || newest && h.priority == p {
+			best = i
+		}
+	}
+	h := (*list)[best]
+	*list = slices.Delete(*list, best, best+1)
 	return h
 }
 
+// halfGone reports whether half of the time has passed in which h can wait and be
+// answered in time.
+func (h *held) halfGone(now time.Duration) bool {
+	return now-h.at > (h.goodUntil-h.at)/2
+}
+
 // tidy drops requests that no longer wait.
 func (r *waitingRoom) tidy() {
 	gone := func(h *held) bool { return h.f.held != h }
@@ -113,6 +172,9 @@
 	if f.kind == route.Upload || t.dead {
 		return false
 	}
+	if !t.window.open(t.busy) {
+		return true
+	}
 	if f.urgency == timely {
 		return t.load() > t.Slots*queueTimely
 	}
@@ -121,15 +183,40 @@
 
 // hold keeps the first packet of a request until its target has room.
 func (c *Core) hold(now time.Duration, f *flow, datagram []byte) {
-	h := &held{f: f, at: now, until: now + holdMost, datagrams: [][]byte{append([]byte(nil), datagram...)}}
-	if f.urgency != timely {
-		h.until = now + holdMostLate
+	objective, timeout := c.times(f)
+	h := &held{
+		f:         f,
+		priority:  c.routeOf(f).Priority,
+		at:        now,
+		goodUntil: now + time.Duration(waitShare*float64(objective)),
+		until:     now + time.Duration(holdShare*float64(timeout)),
+		datagrams: [][]byte{append([]byte(nil), datagram...)},
 	}
 	f.held = h
 	f.target.waiting.add(h, f.urgency)
 	c.holds = append(c.holds, h)
 }
 
+// routeOf returns the route of a flow, an empty one if there is none.
+func (c *Core) routeOf(f *flow) route.Route {
+	r, _ := c.catalog.Routes().Lookup(route.Address{IP: f.key.ServiceIP, Port: f.key.ServicePort})
+	return r
+}
+
+// times returns the time within which the caller of f wants its answers, and that
+// after which they are worth nothing.
+func (c *Core) times(f *flow) (objective, timeout time.Duration) {
+	r := c.routeOf(f)
+	objective, timeout = r.Objective, r.Timeout
+	if objective == 0 {
+		objective = objectiveDefault
+	}
+	if timeout == 0 {
+		timeout = timeoutDefault
+	}
+	return objective, timeout
+}
+
 // holdMore keeps a further packet of a request that waits.
 func (h *held) holdMore(datagram []byte) {
 	if len(h.datagrams) < holdPackets {
@@ -137,10 +224,21 @@
 	}
 }
 
+// hasRoom reports whether a request that waits may go.
+func (t *Target) hasRoom() bool {
+	return t.window.open(t.busy) && (t.load() < t.Slots*queueAhead || t.window.shrunk(t.Slots))
+}
+
+// swamped reports whether so many requests wait for the target that one more of a
+// priority cannot be answered in time.
+func (t *Target) swamped(priority int) bool {
+	return float64(t.waiting.before(priority)) > swampedTimes*t.window.size
+}
+
 // release sends the requests that a target has room for.
 func (c *Core) release(now time.Duration, t *Target) {
-	for t.load() < t.Slots*queueAhead {
-		h := t.waiting.next()
+	for t.hasRoom() {
+		h := t.waiting.next(now)
 		if h == nil {
 			return
 		}
--- a/reader/codec.go
+++ b/reader/codec.go
@@ -260,6 +260,7 @@
 		w := &readerpb.Route{
 			Name: r.Name, Ip: r.At.IP, Port: uint32(r.At.Port), Kind: string(r.Kind),
 			ObjectiveMs: milliseconds(r.Objective), TimeoutMs: milliseconds(r.Timeout),
+			Priority: uint32(max(r.Priority, 0)),
 		}
 		for _, s := range r.Shares {
 			w.Shares = append(w.Shares, &readerpb.Share{Service: s.Service, Weight: uint32(s.Weight)})
@@ -276,6 +277,7 @@
 		r := route.Route{
 			Name: w.Name, At: route.Address{IP: w.Ip, Port: uint16(w.Port)}, Kind: route.Kind(w.Kind),
 			Objective: duration(w.ObjectiveMs), Timeout: duration(w.TimeoutMs),
+			Priority: int(w.Priority),
 		}
 		for _, s := range w.Shares {
 			r.Shares = append(r.Shares, route.Share{Service: s.Service, Weight: int(s.Weight)})
--- a/route/route.go
+++ b/route/route.go
@@ -53,6 +53,9 @@
 	// Timeout is the time after which an answer is worth nothing; 0 if the table
 	// names none.
 	Timeout time.Duration
+	// Priority orders the requests of routes that wait for the same targets; 0 goes
+	// first.
+	Priority int
 }
 
 // Pick returns the service for draw, a number from 0 to 1 exclusive.
@@ -179,5 +182,5 @@
 
 func (r Route) equal(o Route) bool {
 	return r.Name == o.Name && r.At == o.At && r.Kind == o.Kind && r.Objective == o.Objective &&
-		r.Timeout == o.Timeout && slices.Equal(r.Shares, o.Shares)
+		r.Timeout == o.Timeout && r.Priority == o.Priority && slices.Equal(r.Shares, o.Shares)
 }
