--- a/host/control.go
+++ b/host/control.go
@@ -27,10 +27,10 @@
 	// verdictHosts is the largest number of other hosts that are told of a verdict
 	// across failure domains.
 	verdictHosts = 24
-	// verdictEvery is the time after which a verdict that holds is told again, doubtEvery
+	// verdictEvery is the time after which a verdict that holds is told again, failureEvery
 	// the least time between words on targets on which more has failed.
 	verdictEvery = time.Second
-	doubtEvery   = 150 * time.Millisecond
+	failureEvery = 150 * time.Millisecond
 	// noteQueue is the number of datagrams from other hosts that may wait.
 	noteQueue = 256
 	// strongProcessor and strongLink are the share of a core and the Mbit/s from
@@ -164,7 +164,7 @@
 	for _, m := range neighbours {
 		c.tell(reader.Tell{To: m, Note: reader.Load{Load: l}})
 	}
-	c.tellVerdicts(placement.Load{Dead: l.Dead, Doubts: l.Doubts})
+	c.tellVerdicts(placement.Load{Dead: l.Dead, Failures: l.Failures})
 }
 
 // tellVerdicts tells verdicts on targets to the hosts of other failure domains that
@@ -175,11 +175,11 @@
 	wait := verdictEvery
 	if !slices.Equal(l.Dead, c.verdicts.Dead) {
 		wait = 0
-	} else if failedMore(l.Doubts, c.verdicts.Doubts) {
-		wait = doubtEvery
+	} else if failedMore(l.Failures, c.verdicts.Failures) {
+		wait = failureEvery
 	}
 	group := c.core.Group()
-	if len(l.Dead) == 0 && len(l.Doubts) == 0 || now-c.verdictsAt < wait || len(group) > verdictHosts {
+	if len(l.Dead) == 0 && len(l.Failures) == 0 || now-c.verdictsAt < wait || len(group) > verdictHosts {
 		return
 	}
 	c.verdicts, c.verdictsAt = l, now
@@ -190,8 +190,8 @@
 	}
 }
 
-// failedMore reports whether requests have failed since older doubts.
-func failedMore(newer, older map[uint32]placement.Doubt) bool {
+// failedMore reports whether requests have failed since older failures.
+func failedMore(newer, older map[uint32]placement.FailureCount) bool {
 	for stamp, d := range newer {
 		if d.Failed > older[stamp].Failed {
 			return true
--- a/host/load.go
+++ b/host/load.go
@@ -33,7 +33,7 @@
 		return
 	}
 	l, wait := withinBudget(f.core.Load(now), peers)
-	empty := len(l.Targets) == 0 && len(l.Dead) == 0 && len(l.Doubts) == 0
+	empty := len(l.Targets) == 0 && len(l.Dead) == 0 && len(l.Failures) == 0
 	if empty && f.toldEmpty {
 		f.toldAt = now
 		return
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -12,11 +12,11 @@
 	// repeatAfter is the least time after which a caller sends again what was not
 	// acknowledged; sooner repetitions are packets that overtook each other.
 	repeatAfter = 150 * time.Millisecond
-	// patienceTimes is the number of usual answer times of a target after which a
-	// repetition counts as a stall, patienceMost bounds them: a caller repeats a request
+	// stallTimes is the number of usual answer times of a target after which a
+	// repetition counts as a stall, stallMost bounds them: a caller repeats a request
 	// that waits in the queue of a busy target as well.
-	patienceTimes = 4
-	patienceMost  = time.Second
+	stallTimes = 4
+	stallMost  = time.Second
 	// tookShare is the weight of the newest answer in the usual time, tookFirst is that
 	// of a target which has not answered yet.
 	tookShare = 0.2
@@ -70,9 +70,9 @@
 	return e.took
 }
 
-// patience returns the time after which a repetition of a request counts.
-func (e *evidence) patience() time.Duration {
-	return max(repeatAfter, min(patienceTimes*e.usual(), patienceMost))
+// stallAfter returns the time after which a repetition of a request counts.
+func (e *evidence) stallAfter() time.Duration {
+	return max(repeatAfter, min(stallTimes*e.usual(), stallMost))
 }
 
 // suspect reports whether new flows stay away from the target.
@@ -101,7 +101,7 @@
 // behind with its packets.
 func (c *Core) stall(now time.Duration, f *flow) {
 	t := f.target
-	if now-f.sent < t.patience() || t.progressAt > f.sent || c.drainedAt < f.sent+answerWithin {
+	if now-f.sent < t.stallAfter() || t.progressAt > f.sent || c.drainedAt < f.sent+answerWithin {
 		return
 	}
 	if f.stalledIn != t.round+1 {
--- a/placement/neighbour.go
+++ b/placement/neighbour.go
@@ -16,8 +16,8 @@
 	Targets map[uint32]TargetLoad
 	// Dead holds the stamps of targets that answer nobody.
 	Dead []uint32
-	// Doubts holds what is known of targets that fail a part of their requests.
-	Doubts map[uint32]Doubt
+	// Failures holds what is known of targets that fail a part of their requests.
+	Failures map[uint32]FailureCount
 }
 
 // AtLeast returns l without the targets of which less than n is busy or queued.
@@ -49,7 +49,7 @@
 
 // Load returns what this host's flows show at a time.
 func (c *Core) Load(now time.Duration) Load {
-	l := Load{Targets: map[uint32]TargetLoad{}, Doubts: c.doubts(now)}
+	l := Load{Targets: map[uint32]TargetLoad{}, Failures: c.failures(now)}
 	for _, t := range c.order {
 		if tl := (TargetLoad{Busy: t.busy, Queued: t.opening + t.waiting.size()}); tl != (TargetLoad{}) {
 			l.Targets[t.Stamp] = tl
@@ -74,9 +74,9 @@
 }
 
 // SetVerdicts takes in which targets another host has found dead, and which it
-// doubts.
+// failures.
 func (c *Core) SetVerdicts(now time.Duration, name string, l Load) {
-	c.setDoubts(now, name, l.Doubts)
+	c.setFailures(now, name, l.Failures)
 	for _, stamp := range l.Dead {
 		if t := c.byStamp[stamp]; t != nil {
 			t.deadToldUntil = now + verdictLife
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -123,8 +123,8 @@
 	sizes      map[route.Address]answerSize
 	// neighbours are the other hosts of the failure domain by name.
 	neighbours map[string]neighbour
-	// told are the doubts on targets that other hosts have told, by their names.
-	told map[string]toldDoubts
+	// told are the failures on targets that other hosts have told, by their names.
+	told map[string]toldFailures
 	// readyAt is when flows could first be placed.
 	readyAt time.Duration
 	ready   bool
@@ -150,7 +150,7 @@
 		flows:   map[packet.Flow]*flow{},
 
 		neighbours: map[string]neighbour{},
-		told:       map[string]toldDoubts{},
+		told:       map[string]toldFailures{},
 		sizes:      map[route.Address]answerSize{},
 	}
 }
@@ -195,7 +195,7 @@
 	if t == nil {
 		return c.reject(p, NoTarget)
 	}
-	if t.swamped(r.Priority) {
+	if t.overloaded(r.Priority) {
 		return c.reject(p, Overloaded)
 	}
 	if len(c.flows) >= c.cfg.MaxFlows {
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -369,7 +369,7 @@
 			if errG != nil || errF != nil {
 				return fmt.Errorf("doubt %q", a)
 			}
-			l.Doubts = map[uint32]placement.Doubt{placement.StampOf(w[0]): {Good: good, Failed: failed}}
+			l.Failures = map[uint32]placement.FailureCount{placement.StampOf(w[0]): {Good: good, Failed: failed}}
 			continue
 		}
 		busy, queued, _ := strings.Cut(value, "/")
--- a/placement/target.go
+++ b/placement/target.go
@@ -48,7 +48,7 @@
 	// for which the word of another host that the target is dead counts.
 	others        TargetLoad
 	deadToldUntil time.Duration
-	waiting       waitingRoom
+	waiting       requestQueue
 	// window bounds the requests in progress of this host.
 	window window
 	// outcomes are those of the requests seen here; until failingUntil the target
--- a/placement/waiting.go
+++ b/placement/waiting.go
@@ -22,9 +22,9 @@
 	timeoutDefault = time.Second
 	// holdPackets bounds the packets of one request that wait.
 	holdPackets = 4
-	// swampedTimes is the number of windows of requests that may wait for a target
+	// overloadWindows is the number of windows of requests that may wait for a target
 	// before new flows are rejected.
-	swampedTimes = 1
+	overloadWindows = 1
 	// waitShare is the part of an objective that a request may wait here and still be
 	// answered in time; objectiveDefault is that of a route which names none.
 	waitShare        = 1.0 / 3
@@ -61,19 +61,19 @@
 	datagrams [][]byte
 }
 
-// waitingRoom holds the requests that wait for one target.
-type waitingRoom struct {
+// requestQueue holds the requests that wait for one target.
+type requestQueue struct {
 	timely  []*held
 	unknown []*held
 	late    []*held
 }
 
-func (r *waitingRoom) size() int {
+func (r *requestQueue) size() int {
 	return len(r.timely) + len(r.unknown) + len(r.late)
 }
 
 // before counts the requests of a priority, or a better one.
-func (r *waitingRoom) before(priority int) int {
+func (r *requestQueue) before(priority int) int {
 	n := 0
 	for _, list := range [][]*held{r.timely, r.unknown, r.late} {
 		for _, h := range list {
@@ -85,7 +85,7 @@
 	return n
 }
 
-func (r *waitingRoom) add(h *held, u urgency) {
+func (r *requestQueue) add(h *held, u urgency) {
 	switch u {
 	case timely:
 		r.timely = append(r.timely, h)
@@ -97,7 +97,7 @@
 }
 
 // next takes out the request that goes next, nil if there is none.
-func (r *waitingRoom) next(now time.Duration) *held {
+func (r *requestQueue) next(now time.Duration) *held {
 	for r.size() > 0 {
 		if h := r.pop(now); h.f.held == h {
 			return h
@@ -108,11 +108,11 @@
 
 // pop takes out the request that goes next by class: timely ones, then unknown ones,
 // then late ones; those of routes of a better priority first in each class.
-func (r *waitingRoom) pop(now time.Duration) *held {
+func (r *requestQueue) pop(now time.Duration) *held {
 	r.demote(now)
 	switch {
 	case len(r.timely) > 0:
-		return takeBest(&r.timely, r.timely[0].halfGone(now))
+		return takeBest(&r.timely, r.timely[0].halfWaited(now))
 	case len(r.unknown) > 0:
 		return takeBest(&r.unknown, true)
 	default:
@@ -121,7 +121,7 @@
 }
 
 // demote makes timely requests late that can no longer be answered in time.
-func (r *waitingRoom) demote(now time.Duration) {
+func (r *requestQueue) demote(now time.Duration) {
 	r.timely = slices.DeleteFunc(r.timely, func(h *held) bool {
 		if now < h.goodUntil {
 			return false
@@ -146,14 +146,14 @@
 	return h
 }
 
-// halfGone reports whether half of the time has passed in which h can wait and be
+// halfWaited reports whether half of the time has passed in which h can wait and be
 // answered in time.
-func (h *held) halfGone(now time.Duration) bool {
+func (h *held) halfWaited(now time.Duration) bool {
 	return now-h.at > (h.goodUntil-h.at)/2
 }
 
 // tidy drops requests that no longer wait.
-func (r *waitingRoom) tidy() {
+func (r *requestQueue) tidy() {
 	gone := func(h *held) bool { return h.f.held != h }
 	r.timely = slices.DeleteFunc(r.timely, gone)
 	r.unknown = slices.DeleteFunc(r.unknown, gone)
@@ -229,10 +229,10 @@
 	return t.window.open(t.busy) && (t.load() < t.Slots*queueAhead || t.window.shrunk(t.Slots))
 }
 
-// swamped reports whether so many requests wait for the target that one more of a
+// overloaded reports whether so many requests wait for the target that one more of a
 // priority cannot be answered in time.
-func (t *Target) swamped(priority int) bool {
-	return float64(t.waiting.before(priority)) > swampedTimes*t.window.size
+func (t *Target) overloaded(priority int) bool {
+	return float64(t.waiting.before(priority)) > overloadWindows*t.window.size
 }
 
 // release sends the requests that a target has room for.
--- a/reader/codec.go
+++ b/reader/codec.go
@@ -63,8 +63,8 @@
 			l.Busy = append(l.Busy, uint32(tl.Busy))
 			l.Queued = append(l.Queued, uint32(tl.Queued))
 		}
-		for stamp, d := range n.Doubts {
-			l.Doubted = append(l.Doubted, stamp)
+		for stamp, d := range n.Failures {
+			l.Failing = append(l.Failing, stamp)
 			l.Good = append(l.Good, tenths(d.Good))
 			l.Failed = append(l.Failed, tenths(d.Failed))
 		}
@@ -160,18 +160,18 @@
 
 func loadNote(w *readerpb.Load) (Note, error) {
 	if len(w.Stamps) != len(w.Busy) || len(w.Stamps) != len(w.Queued) ||
-		len(w.Doubted) != len(w.Good) || len(w.Doubted) != len(w.Failed) {
+		len(w.Failing) != len(w.Good) || len(w.Failing) != len(w.Failed) {
 		return nil, &NoteError{Reason: "load of unequal lists"}
 	}
 	l := placement.Load{Targets: make(map[uint32]placement.TargetLoad, len(w.Stamps)), Dead: w.Dead}
 	for i, stamp := range w.Stamps {
 		l.Targets[stamp] = placement.TargetLoad{Busy: int(w.Busy[i]), Queued: int(w.Queued[i])}
 	}
-	for i, stamp := range w.Doubted {
-		if l.Doubts == nil {
-			l.Doubts = map[uint32]placement.Doubt{}
+	for i, stamp := range w.Failing {
+		if l.Failures == nil {
+			l.Failures = map[uint32]placement.FailureCount{}
 		}
-		l.Doubts[stamp] = placement.Doubt{Good: float64(w.Good[i]) / perWeight, Failed: float64(w.Failed[i]) / perWeight}
+		l.Failures[stamp] = placement.FailureCount{Good: float64(w.Good[i]) / perWeight, Failed: float64(w.Failed[i]) / perWeight}
 	}
 	return Load{Load: l}, nil
 }
--- a/reader/codec_test.go
+++ b/reader/codec_test.go
@@ -48,7 +48,7 @@
 		reader.Hello{},
 		reader.Beat{Routes: 7, Targets: 9, Reading: true, Age: 1200 * time.Millisecond},
 		reader.Ask{Routes: 3, Targets: 4},
-		reader.Load{Load: placement.Load{Targets: map[uint32]placement.TargetLoad{5: {Busy: 2, Queued: 1}}, Dead: []uint32{8}, Doubts: map[uint32]placement.Doubt{9: {Good: 2.5, Failed: 3}}}},
+		reader.Load{Load: placement.Load{Targets: map[uint32]placement.TargetLoad{5: {Busy: 2, Queued: 1}}, Dead: []uint32{8}, Failures: map[uint32]placement.FailureCount{9: {Good: 2.5, Failed: 3}}}},
 		reader.Content{Revision: 12, Full: true, Targets: someTargets(150)},
 		reader.Content{Revision: 12, From: 10, Changes: []catalog.Change{{Target: someTargets(1)[0]}}},
 		reader.Content{Revision: 13, From: 12, Changes: []catalog.Change{{Target: catalog.Target{ID: "i-1", Revision: 13}, Removed: true}}},
