--- a/host/flowlog.go
+++ b/host/flowlog.go
@@ -76,7 +76,8 @@
 	if n.Target != nil {
 		s := n.Target.Standing(now)
 		fields["target"], fields["stamp"], fields["state"] = n.Target.ID, fmt.Sprintf("%08x", n.Target.Stamp), s.State
-		fields["load"] = fmt.Sprintf("%d+%d busy, %d+%d queued", s.Busy, s.Others.Busy, s.Opening+s.Waiting, s.Others.Queued)
+		fields["load"] = fmt.Sprintf("%d+%d busy, %d+%d queued, window %.1f",
+			s.Busy, s.Others.Busy, s.Opening+s.Waiting, s.Others.Queued, s.Window)
 	}
 	f.h.log.WithFields(fields).Info("host: " + string(n.Event))
 }
--- a/host/forward.go
+++ b/host/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/netip"
 	"syscall"
@@ -259,8 +260,12 @@
 	if !f.started {
 		return
 	}
-	f.h.log.WithFields(log.Fields{
+	fields := log.Fields{
 		"target": n.Target.ID, "service": n.Target.Service, "at": n.Target.At, "domain": n.Target.Domain,
 		"revision": n.Target.Revision,
-	}).Info("host: " + string(n.Event))
+	}
+	if n.Event == placement.TargetFailing {
+		fields["good"], fields["failed"] = math.Round(n.Count.Good), math.Round(n.Count.Failed)
+	}
+	f.h.log.WithFields(fields).Info("host: " + string(n.Event))
 }
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -27,6 +27,8 @@
 type Notice struct {
 	Event  Event
 	Target *Target
+	// Count is what a target is found failing by, that of other hosts included.
+	Count FailureCount
 }
 
 func (c *Core) notify(e Event, t *Target) {
@@ -35,6 +37,12 @@
 	}
 }
 
+func (c *Core) notifyFailing(t *Target, n FailureCount) {
+	if c.cfg.Observe != nil {
+		c.cfg.Observe(Notice{Event: TargetFailing, Target: t, Count: n})
+	}
+}
+
 // FlowEvent says what was decided on a flow, or what it showed.
 type FlowEvent string
 
@@ -85,6 +93,8 @@
 	Opening int `json:"opening"`
 	Busy    int `json:"busy"`
 	Waiting int `json:"waiting"`
+	// Window is the number of requests that this host may have in progress there.
+	Window float64 `json:"window"`
 	// Others is what the neighbours add.
 	Others TargetLoad `json:"others"`
 	// State is ready, draining, gone, suspect, failing, dead or collides.
@@ -93,7 +103,7 @@
 
 // Standing returns the load and the state of the target.
 func (t *Target) Standing(now time.Duration) Standing {
-	s := Standing{Open: t.open, Opening: t.opening, Busy: t.busy, Waiting: t.waiting.size(), Others: t.others, State: "ready"}
+	s := Standing{Open: t.open, Opening: t.opening, Busy: t.busy, Waiting: t.waiting.size(), Window: t.window.size, Others: t.others, State: "ready"}
 	switch {
 	case t.collides:
 		s.State = "collides"
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -196,7 +196,8 @@
 		return c.reject(p, NoTarget)
 	}
 	if t.overloaded(r.Priority) {
-		return c.reject(p, Overloaded)
+		c.notifyFlow(FlowNotice{Event: FlowRejected, Flow: p.Flow, Target: t, Reason: Overloaded, Copies: p.Copies})
+		return Reject{Reason: Overloaded}
 	}
 	if len(c.flows) >= c.cfg.MaxFlows {
 		return c.reject(p, Full)
