Let targets go on whose entries lapse in an outage that hosts hardly notice

The 2.5 s were right for heartbeats of 1.2 s only, after three of which entries lapse. Change: the store counts as away after two heartbeats of the settings (2.5 s at most); and if most of three or more entries of a service vanish in one step they count as lapsed without an outage. The soak's settings name its heartbeat.

--- a/host/forward.go
+++ b/host/forward.go
@@ -20,8 +20,11 @@
 const (
 	// socketBuffer is the size of the packets' receive buffer in bytes.
 	socketBuffer = 1 << 20
-	// outageAge is the age of the store's last word at which it counts as away.
-	outageAge = 2500 * time.Millisecond
+	// outageBeats is the age of the store's last word, in heartbeats of the targets, at
+	// which it counts as away: entries may lapse one heartbeat later. outageMost bounds
+	// it.
+	outageBeats = 2
+	outageMost  = 2500 * time.Millisecond
 	// idleTick bounds the time for which the packet goroutine waits for a packet.
 	idleTick = 250 * time.Millisecond
 	// leastWait is the shortest wait for a packet. It lets packets that are there
@@ -129,7 +132,7 @@
 	}
 	n, err := f.receive()
 	now := f.h.now()
-	if f.h.age(now) > outageAge {
+	if f.h.age(now) > f.h.outageAge() {
 		f.core.SetOutage(now)
 	}
 	if current := f.h.current.Load(); current != f.seen {
@@ -156,6 +159,14 @@
 	return nil
 }
 
+// outageAge returns the age of the store's last word at which it counts as away.
+func (h *Host) outageAge() time.Duration {
+	if h.cfg.Boot.Heartbeat == 0 {
+		return outageMost
+	}
+	return min(outageBeats*h.cfg.Boot.Heartbeat, outageMost)
+}
+
 // receive reads one datagram behind the room for the prefix and returns its
 // size. Each time that it finds none, all that came before is handled, and what
 // is due is done.
--- a/host/forward_test.go
+++ b/host/forward_test.go
@@ -2,12 +2,28 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"wisteriaweir/placement"
+	"wisteriaweir/platform"
 )
 
+// TestOutageAge holds that the store counts as away before entries can lapse, three
+// heartbeats after their last.
+func TestOutageAge(t *testing.T) {
+	for beat, want := range map[time.Duration]time.Duration{
+		0:                       2500 * time.Millisecond,
+		800 * time.Millisecond:  1600 * time.Millisecond,
+		1200 * time.Millisecond: 2400 * time.Millisecond,
+		3 * time.Second:         2500 * time.Millisecond,
+	} {
+		h := &Host{cfg: Config{Boot: platform.Boot{Heartbeat: beat}}}
+		qt.Check(t, h.outageAge(), qt.Equals, want, qt.Commentf("%v", beat))
+	}
+}
+
 // TestLoadWithinBudget holds that words on the load keep to their bytes a second
 // whatever the number of targets and neighbours, and leave the fullest in.
 func TestLoadWithinBudget(t *testing.T) {
--- a/placement/target.go
+++ b/placement/target.go
@@ -14,6 +14,9 @@
 	// outageLinger is how long after an outage of the store entries that are missing
 	// may have lapsed in it.
 	outageLinger = 4 * time.Second
+	// manyLeast is the least number of targets of a service of which most have to go in
+	// one step for their entries to count as lapsed.
+	manyLeast = 3
 	// lapseGrace is the time in which the entry of a target that lives comes back.
 	lapseGrace = 2 * time.Second
 )
@@ -79,20 +82,42 @@
 	if !c.ready && cat.Complete() {
 		c.ready, c.readyAt = true, now
 	}
+	c.setGone(now, cat)
 	regrouped := false
 	for _, id := range c.changed(cat) {
 		ct, _ := cat.Target(id)
 		regrouped = c.setTarget(now, id, ct) || regrouped
 	}
+	if regrouped {
+		c.index()
+	}
+}
+
+// setGone takes in which targets a catalog lacks. Their entries may have lapsed if
+// the store was away of late, or if most of a service's entries go in one step.
+func (c *Core) setGone(now time.Duration, cat catalog.Catalog) {
+	var gone []*Target
+	stood, left := map[string]int{}, map[string]int{}
+	for _, t := range c.order {
+		if t.gone || t.Draining {
+			continue
+		}
+		stood[t.Service]++
+		if _, ok := cat.Target(t.ID); ok {
+			left[t.Service]++
+		}
+	}
 	for _, t := range c.order {
 		if _, ok := cat.Target(t.ID); !ok && !t.gone {
-			t.gone, t.goneAt = true, now
-			t.lapsed = !t.Draining && c.outage && now-c.outageAt < outageLinger
-			c.notify(TargetGone, t)
+			gone = append(gone, t)
 		}
 	}
-	if regrouped {
-		c.index()
+	outage := c.outage && now-c.outageAt < outageLinger
+	for _, t := range gone {
+		t.gone, t.goneAt = true, now
+		many := stood[t.Service] >= manyLeast && 2*left[t.Service] < stood[t.Service]
+		t.lapsed = !t.Draining && (outage || many)
+		c.notify(TargetGone, t)
 	}
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -55,6 +55,7 @@
 bootstrap=%v
 limits.memory_mb=284
 bounds.grace_s=6
+heartbeat_ms=500
 platform.address=%s
 `, name, domain, ip, ip, portPackets, ip, portReady, portNotes, portNotes+5, first, store)
 	return os.WriteFile(path, []byte(text), 0o644)
