--- a/host/host_test.go
+++ b/host/host_test.go
@@ -39,7 +39,11 @@
 }
 
 func newSystem(t *testing.T, lastByte byte) *system {
-	s := &system{store: httptest.NewServer(fake.NewPlatform(fake.PlatformConfig{Lapse: 2 * time.Second}))}
+	return newSystemWith(t, lastByte, fake.PlatformConfig{Lapse: 2 * time.Second})
+}
+
+func newSystemWith(t *testing.T, lastByte byte, cfg fake.PlatformConfig) *system {
+	s := &system{store: httptest.NewServer(fake.NewPlatform(cfg))}
 	t.Cleanup(s.store.Close)
 	var hosts []fake.RouterHost
 	for i := range 2 {
@@ -250,3 +254,57 @@
 	}
 	await(t, "the removal", func() bool { return names() == s.boots[0].Name+" "+s.boots[1].Name })
 }
+
+// TestUsedAddressCrossesNothing ends a target without a word and gives its address
+// to one of the other service, while its entry stays in the store: packets that
+// hosts still send there are not taken.
+func TestUsedAddressCrossesNothing(t *testing.T) {
+	s := newSystemWith(t, 71, fake.PlatformConfig{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	for i, b := range s.boots {
+		start(t, host.Config{Boot: b, Seed: uint64(i)})
+	}
+	qt.Assert(t, s.world.AddTargets(ctx), qt.IsNil)
+	qt.Assert(t, s.world.Configure(ctx), qt.IsNil)
+	go s.world.Router.Run(ctx)
+	await(t, "rotation", func() bool { return s.world.Router.Ready() == 2 })
+	load, cancelLoad := context.WithTimeout(ctx, 7*time.Second)
+	defer cancelLoad()
+	done := make(chan error, 1)
+	go func() { done <- s.world.Callers.Run(load) }()
+
+	ended, other := twoServices(s.world.Targets())
+	s.world.End(ended.ID())
+	time.Sleep(2100 * time.Millisecond)
+	qt.Assert(t, s.world.AddTarget(ctx, other.Service(), other.Domain()), qt.IsNil)
+	var used fake.WorldTarget
+	for _, x := range s.world.Targets() {
+		if x.At() == ended.At() && x.ID() != ended.ID() {
+			used = x
+		}
+	}
+	qt.Assert(t, used.FlowTarget, qt.IsNotNil)
+	qt.Assert(t, <-done, qt.IsNil)
+	v := s.world.Verdict()
+	t.Log(v)
+	qt.Check(t, v.Broken(), qt.IsFalse)
+	qt.Check(t, used.Stats().Foreign > 0, qt.IsTrue)
+}
+
+// twoServices returns a target of the service with the most targets, and one of the
+// other service.
+func twoServices(targets map[string]fake.WorldTarget) (most, other fake.WorldTarget) {
+	perService := map[string]int{}
+	for _, x := range targets {
+		perService[x.Service()]++
+	}
+	for _, x := range targets {
+		if perService[x.Service()] > len(targets)/2 {
+			most = x
+		} else {
+			other = x
+		}
+	}
+	return most, other
+}
