Bound windows from below for entries without slots

Cause: read as a newcomer: a note from another host with 0 slots would make a window of 0, and no request would ever go.

--- a/placement/window.go
+++ b/placement/window.go
@@ -26,7 +26,12 @@
 }
 
 func newWindow(slots int) window {
-	return window{size: float64(slots * windowSlots)}
+	return window{size: windowMost(slots)}
+}
+
+// windowMost returns the largest window of a target.
+func windowMost(slots int) float64 {
+	return max(float64(slots*windowSlots), windowLeast)
 }
 
 // open reports whether one request more fits.
@@ -36,7 +41,7 @@
 
 // grow takes in an answer in time.
 func (w *window) grow(slots int) {
-	w.size = min(w.size+1/w.size, float64(slots*windowSlots))
+	w.size = min(w.size+1/w.size, windowMost(slots))
 }
 
 // shrink takes in a refusal or a slow answer.
@@ -50,5 +55,5 @@
 
 // shrunk reports whether the window is smaller than it can be.
 func (w *window) shrunk(slots int) bool {
-	return w.size < float64(slots*windowSlots)
+	return w.size < windowMost(slots)
 }
