Read as a newcomer: split what a catalog lacks, mend two comments

Cause: setGone did three things; two comments had lost their words in a renaming. Change: mostGone apart; comments. No decision changed.

--- a/placement/neighbour.go
+++ b/placement/neighbour.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// SetVerdicts takes in which targets another host has found dead, and which it
-// failures.
+// SetVerdicts takes in which targets another host has found dead, and what it has
+// seen fail.
 func (c *Core) SetVerdicts(now time.Duration, name string, l Load) {
 	c.setFailures(now, name, l.Failures)
 	for _, stamp := range l.Dead {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -123,7 +123,7 @@
 	sizes      map[route.Address]answerSize
 	// neighbours are the other hosts of the failure domain by name.
 	neighbours map[string]neighbour
-	// told are the failures on targets that other hosts have told, by their names.
+	// told holds what other hosts have told of failures, by their names.
 	told map[string]toldFailures
 	// readyAt is when flows could first be placed.
 	readyAt time.Duration
--- a/placement/target.go
+++ b/placement/target.go
@@ -96,7 +96,21 @@
 // setGone takes in which targets a catalog lacks. Their entries may have lapsed if
 // the store was away of late, or if most of a service's entries go in one step.
 func (c *Core) setGone(now time.Duration, cat catalog.Catalog) {
-	var gone []*Target
+	outage := c.outage && now-c.outageAt < outageLinger
+	most := c.mostGone(cat)
+	for _, t := range c.order {
+		if _, ok := cat.Target(t.ID); ok || t.gone {
+			continue
+		}
+		t.gone, t.goneAt = true, now
+		t.lapsed = !t.Draining && (outage || most[t.Service])
+		c.notify(TargetGone, t)
+	}
+}
+
+// mostGone returns the services of which a catalog lacks most targets that stood
+// before and did not leave.
+func (c *Core) mostGone(cat catalog.Catalog) map[string]bool {
 	stood, left := map[string]int{}, map[string]int{}
 	for _, t := range c.order {
 		if t.gone || t.Draining {
@@ -107,18 +121,11 @@
 			left[t.Service]++
 		}
 	}
-	for _, t := range c.order {
-		if _, ok := cat.Target(t.ID); !ok && !t.gone {
-			gone = append(gone, t)
-		}
-	}
-	outage := c.outage && now-c.outageAt < outageLinger
-	for _, t := range gone {
-		t.gone, t.goneAt = true, now
-		many := stood[t.Service] >= manyLeast && 2*left[t.Service] < stood[t.Service]
-		t.lapsed = !t.Draining && (outage || many)
-		c.notify(TargetGone, t)
+	most := map[string]bool{}
+	for service, n := range stood {
+		most[service] = n >= manyLeast && 2*left[service] < n
 	}
+	return most
 }
 
 // changed returns the targets that a catalog has and the core has otherwise, or not
