--- a/host/host_test.go
+++ b/host/host_test.go
@@ -61,6 +61,11 @@
 		Net: [2]byte{127, testNet}, Port: testPackets, Store: s.store.URL, Domains: []string{"west-a"}, Targets: 3,
 		Hosts: hosts, Callers: 2, Seed: 1,
 	})
+	t.Cleanup(func() {
+		for _, x := range s.world.Targets() {
+			x.Stop() // The next system uses the address again.
+		}
+	})
 	return s
 }
 
