Give each run of the process tests a block of addresses that no other has

Another run of the tests on the machine (RestartAfterDrains, pid 27478) had the same block: both pids were 6 modulo 8. Change: a run holds a port on an address of its first block, and takes the next block if another run has it.

--- a/dump_test.go
+++ b/dump_test.go
@@ -29,7 +29,7 @@
 // of its dump with those that docs/DUMP.md describes, in both directions.
 func TestEveryProcessDumps(t *testing.T) {
 	t.Parallel()
-	s := &system{t: t, c: qt.New(t), block: newBlock()}
+	s := &system{t: t, c: qt.New(t), block: newBlock(qt.New(t))}
 	at := func(host int) string { return s.addr(40, host, 7003).String() }
 	platform, fabric, target, caller := at(0), at(1), at(2), at(3)
 	s.run("fake platform", "--listen", platform)
--- a/hosts_test.go
+++ b/hosts_test.go
@@ -26,7 +26,7 @@
 	cmd := exec.Command("script/runhosts")
 	cmd.Stdout, cmd.Stderr = &out, &complaints
 	cmd.Env = append(os.Environ(), "WISTERIAWEIR_RUN_SECONDS=12", "WISTERIAWEIR_RUN_LOGS="+t.TempDir(),
-		"WISTERIAWEIR_RUN_PROGRAM="+program, "WISTERIAWEIR_RUN_BLOCK="+strconv.Itoa(newBlock()))
+		"WISTERIAWEIR_RUN_PROGRAM="+program, "WISTERIAWEIR_RUN_BLOCK="+strconv.Itoa(newBlock(qt.New(t))))
 	c.Assert(cmd.Run(), qt.IsNil, qt.Commentf("%s\n%s", &out, &complaints))
 	t.Log(out.String())
 	m := hostsLine.FindStringSubmatch(out.String())
--- a/run_test.go
+++ b/run_test.go
@@ -37,7 +37,7 @@
 		cmd.Stdout, cmd.Stderr = &out, &out
 		cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 		cmd.Env = append(os.Environ(), "WISTERIAWEIR_RUN_SECONDS=20", "WISTERIAWEIR_RUN_LOGS="+logs,
-			"WISTERIAWEIR_RUN_PROGRAM="+program, "WISTERIAWEIR_RUN_BLOCK="+strconv.Itoa(newBlock()))
+			"WISTERIAWEIR_RUN_PROGRAM="+program, "WISTERIAWEIR_RUN_BLOCK="+strconv.Itoa(newBlock(qt.New(t))))
 		c.Assert(cmd.Start(), qt.IsNil)
 		group := -cmd.Process.Pid
 		t.Cleanup(func() {
--- a/soak_test.go
+++ b/soak_test.go
@@ -35,7 +35,7 @@
 	cfg.Program, err = exec.LookPath("wisteriaweir")
 	c.Assert(err, qt.IsNil)
 	cfg.Hosts, cfg.Targets, cfg.Callers = 4, 6, 4
-	cfg.Block, cfg.Dir = byte(newBlock()), t.TempDir()
+	cfg.Block, cfg.Dir = byte(newBlock(qt.New(t))), t.TempDir()
 	r, err := soak.Run(context.Background(), cfg)
 	c.Assert(err, qt.IsNil)
 	t.Log(r.Verdict)
--- a/system_test.go
+++ b/system_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -73,7 +75,7 @@
 }
 
 func startSystem(t *testing.T, c *cut, balancers, targets int) *system {
-	s := &system{t: t, c: qt.New(t), cut: c, block: newBlock(), pool: make(map[string][]service.Target), targets: make(map[string]*fake.Target)}
+	s := &system{t: t, c: qt.New(t), cut: c, block: newBlock(qt.New(t)), pool: make(map[string][]service.Target), targets: make(map[string]*fake.Target)}
 	s.platform = fake.NewPlatform(fake.PlatformConfig{Seed: 1})
 	srv := httptest.NewServer(s.platform)
 	t.Cleanup(srv.Close)
@@ -367,10 +369,34 @@
 // blocks counts the systems of this process.
 var blocks atomic.Int32
 
+// Blocks of addresses: each run of the tests on one machine has one for each of its
+// systems.
+const (
+	systemBlocks = 28
+	runBlocks    = 8
+)
+
+// runHold is the port that runBlock holds.
+var runHold *net.UDPConn
+
+// runBlock returns the number of this run of the tests, which no other run on the
+// machine has: as long as it lasts it holds a port on an address of its first block.
+var runBlock = sync.OnceValues(func() (int, error) {
+	var err error
+	for i := range runBlocks {
+		run := (os.Getpid() + i) % runBlocks
+		ip := net.IPv4(127, byte(1+systemBlocks*run), 254, 254)
+		if runHold, err = net.ListenUDP("udp4", &net.UDPAddr{IP: ip, Port: 9000}); err == nil {
+			return run, nil
+		}
+	}
+	return 0, err
+})
+
 // newBlock returns the second byte of the addresses of another system: no two of
-// this process have the same one, and two runs of the tests on one machine seldom
-// do.
-func newBlock() int {
-	const systems, runs = 28, 8
-	return int(blocks.Add(1)-1)%systems + 1 + systems*(os.Getpid()%runs)
+// this process have the same one, and no two runs of the tests on one machine.
+func newBlock(c *qt.C) int {
+	run, err := runBlock()
+	c.Assert(err, qt.IsNil, qt.Commentf("more than %d runs of the tests on this machine", runBlocks))
+	return int(blocks.Add(1)-1)%systemBlocks + 1 + systemBlocks*run
 }
--- a/tls_test.go
+++ b/tls_test.go
@@ -142,7 +142,7 @@
 	a, files := newAuthority(c), keyFiles(c)
 	a.issue(files, peer.ServerName)
 	replace(c, files.CAFile, a.PEM)
-	s := &system{t: t, c: c, block: newBlock(), url: "http://127.0.0.1:1"}
+	s := &system{t: t, c: c, block: newBlock(c), url: "http://127.0.0.1:1"}
 	p := &process{name: "balancer-1", domain: "west-a", ip: s.addr(3, 0, 0).Addr().String()}
 	s.run("balancer", append(s.flags(p), "--monitor-tls", "all",
 		"--tls-cert", files.CertFile, "--tls-key", files.KeyFile, "--tls-ca", files.CAFile)...)
@@ -164,7 +164,7 @@
 func TestMissingKeysAreLogged(t *testing.T) {
 	c := qt.New(t)
 	logs := keepLogs(c)
-	s := &system{t: t, c: c, block: newBlock(), url: "http://127.0.0.1:1"}
+	s := &system{t: t, c: c, block: newBlock(c), url: "http://127.0.0.1:1"}
 	p := &process{name: "balancer-1", domain: "west-a", ip: s.addr(3, 0, 0).Addr().String()}
 	s.balancers = []*process{p}
 	t.Cleanup(s.stopAll)
