Show the era of the store and the content of the catalog in logs, metrics and dumps

A log line names the number of a routing table, not its content; a response of the store that is not used leaves no trace; nobody reads the header Store-Era. Change: digests of routing table and targets (package digest) in dump and log; a line and a counter for each response that differs from the catalog and is not used; the era in metrics, dump and log, and a line when it rises. The fake platform names its era, and Restore brings back an older copy. Decisions are unchanged. Run: go test of catalog, route, reader, host, fake, platform: green. Conclusion: H1 shows as a risen era with ignored responses, H2 as equal numbers with different digests.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -15,6 +15,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"wisteriaweir/evacuation"
@@ -59,10 +60,12 @@
 // revision. The zero value is empty and does not require evacuations; see
 // WithEvacuationsRequired.
 type Catalog struct {
-	routes              route.Table
-	routesRevision      uint64
-	targets             map[string]Target
-	targetsRevision     uint64
+	routes          route.Table
+	routesRevision  uint64
+	targets         map[string]Target
+	targetsRevision uint64
+	// targetsSum is the sum of the digests of all targets.
+	targetsSum          uint64
 	evacuations         evacuation.Set
 	evacuationsRevision uint64
 	// needsEvacuations reports whether the catalog is incomplete without evacuations.
@@ -145,7 +148,9 @@
 		return c
 	}
 	c.targets = make(map[string]Target, len(targets))
+	c.targetsSum = 0
 	for _, t := range targets {
+		c.targetsSum += t.digest() - digestOf(c.targets, t.ID)
 		c.targets[t.ID] = t
 	}
 	c.targetsRevision = revision
@@ -165,7 +170,9 @@
 			targets[id] = t
 		}
 		for _, ch := range changes {
+			c.targetsSum -= digestOf(targets, ch.Target.ID)
 			applyChange(targets, ch)
+			c.targetsSum += digestOf(targets, ch.Target.ID)
 		}
 		c.targets = targets
 	}
@@ -192,6 +199,14 @@
 	return changes
 }
 
+// Lacks reports whether the content of c differs from any of the given changes.
+func (c Catalog) Lacks(changes []Change) bool {
+	return slices.ContainsFunc(changes, func(ch Change) bool {
+		t, ok := c.targets[ch.Target.ID]
+		return ok == ch.Removed || ok && t.digest() != ch.Target.digest()
+	})
+}
+
 // applyChange applies one change, unless it is older than the current entry.
 func applyChange(targets map[string]Target, ch Change) {
 	if current, ok := targets[ch.Target.ID]; ok && current.Revision > ch.Target.Revision {
--- a/fake/flowworld.go
+++ b/fake/flowworld.go
@@ -141,6 +141,30 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	version, extra := e.version+1+e.version%3, e.extraRoute+1
+	err := e.writeConfig(ctx, version, extra)
+	if err == nil {
+		e.version, e.extraRoute = version, extra
+	}
+	return err
+}
+
+// RewriteConfig writes the newest configuration again, as the operator does when the store
+// has come back from an older copy.
+func (e *TestEnvironment) RewriteConfig(ctx context.Context) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.writeConfig(ctx, e.version, e.extraRoute)
+}
+
+// Version returns the version of the newest configuration.
+func (e *TestEnvironment) Version() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
+// writeConfig writes a configuration with the given version and number of the extra route.
+func (e *TestEnvironment) writeConfig(ctx context.Context, version, extra int) error {
 	vip := e.address(8, 1).String()
 	routes := []map[string]any{
 		routeSpec("feed", vip, feedPort, "safe", deskService),
@@ -148,13 +172,9 @@
 		routeSpec("upload", vip, uploadPort, "upload", intakeService),
 		routeSpec(fmt.Sprintf("extra-%d", extra), vip, 10000+extra, "safe", deskService),
 	}
-	err := e.store.CreateOrReplace(ctx, platform.KindConfig, platform.ConfigName, map[string]any{
+	return e.store.CreateOrReplace(ctx, platform.KindConfig, platform.ConfigName, map[string]any{
 		"version": version, "routes": routes, "limits": map[string]any{"idle_timeout_ms": 15000},
 	})
-	if err == nil {
-		e.version, e.extraRoute = version, extra
-	}
-	return err
 }
 
 func routeSpec(name, host string, port int, kind, service string) map[string]any {
--- a/fake/platform.go
+++ b/fake/platform.go
@@ -56,9 +56,11 @@
 	cfg PlatformConfig
 	mux *http.ServeMux
 
-	mu       sync.Mutex
-	faults   PlatformFaults
-	rng      *rand.Rand
+	mu     sync.Mutex
+	faults PlatformFaults
+	rng    *rand.Rand
+	// era rises by one with each Restore.
+	era      uint64
 	revision uint64
 	objects  map[string]map[string]*storedObject
 	// history holds the changes after compactedRevision, oldest first.
@@ -111,6 +113,7 @@
 		mux:      http.NewServeMux(),
 		faults:   cfg.Faults,
 		rng:      rand.New(rand.NewPCG(cfg.Seed, 0)),
+		era:      initialEra,
 		revision: 1,
 		objects:  map[string]map[string]*storedObject{},
 		calls:    map[string]int{},
@@ -130,6 +133,7 @@
 
 // ServeHTTP serves the store's API.
 func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.setEraHeader(w)
 	p.mux.ServeHTTP(w, r)
 }
 
--- a/fake/platform_watch.go
+++ b/fake/platform_watch.go
@@ -19,8 +19,12 @@
 	}
 	end := time.NewTimer(min(time.Duration(ms)*time.Millisecond, maxWatchDuration))
 	defer end.Stop()
+	era := p.currentEra()
 	for {
 		events, revision, changed, compacted, expireNow := p.changesSince(r.PathValue("kind"), after)
+		if p.currentEra() != era {
+			panic(http.ErrAbortHandler) // Restore cuts the watches.
+		}
 		if compacted {
 			http.Error(w, "the history after this revision has been removed; list again", http.StatusGone)
 			return
@@ -53,12 +57,13 @@
 
 // changesSince returns the changes of a kind after a revision, the store's revision
 // and a channel that is closed when it is time to check again. compacted reports
-// whether the history no longer reaches back to the revision, expireNow whether the
-// watch has to end at once because of the fault EndWatches.
+// whether the history does not contain the revision, because it is too old or, after a
+// restore, not given out again yet. expireNow reports whether the watch has to end at
+// once because of the fault EndWatches.
 func (p *Platform) changesSince(kind string, after uint64) (events []change, revision uint64, changed chan struct{}, compacted, expireNow bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if after < p.compactedRevision || after == 0 {
+	if after < p.compactedRevision || after > p.revision || after == 0 {
 		return nil, p.revision, p.changed, true, false
 	}
 	for _, c := range p.history {
--- a/host/control.go
+++ b/host/control.go
@@ -235,6 +235,12 @@
 			c.sendMessage(e)
 		case reader.Publish:
 			c.publish(e.Catalog)
+		case reader.Ignored:
+			c.h.counters.ignoredUpdates.Inc()
+			c.h.log.WithFields(log.Fields{
+				"revision": e.Revision, "catalog_revision": e.CatalogRevision, "number": e.Number, "catalog_number": e.CatalogNumber,
+				"era": c.h.storeEra.Load(),
+			}).Warn("host: response of the store ignored, the catalog is newer")
 		}
 	}
 }
@@ -245,7 +251,7 @@
 	if cat.Routes().Number() != previous.Routes().Number() {
 		c.h.log.WithFields(log.Fields{
 			"number": cat.Routes().Number(), "before": previous.Routes().Number(), "revision": cat.RoutesRevision(),
-			"routes": cat.Routes().Size(),
+			"routes": cat.Routes().Size(), "digest": formatDigest(cat.Routes().Digest()), "era": c.h.storeEra.Load(),
 		}).Info("host: routes in force")
 	}
 	c.recordEvacuations(previous, cat)
--- a/host/count.go
+++ b/host/count.go
@@ -1,10 +1,12 @@
 package host
 
 import (
+	"fmt"
 	"math"
 	"strconv"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/apex/log"
 
 	"wisteriaweir/placement"
 	"wisteriaweir/platform"
@@ -25,6 +27,8 @@
 	// Received datagrams that are not valid messages, and messages and load reports that
 	// were dropped because a queue was full.
 	malformedMessages, droppedMessages *metrics.Counter
+	// Responses of the store that differ from the catalog and were not applied.
+	ignoredUpdates *metrics.Counter
 	// Flows that were reset, and packets that were dropped without a reset.
 	rejectedByReason, droppedByReason map[placement.Reason]*metrics.Counter
 	flowEvents                        map[placement.FlowEvent]*metrics.Counter
@@ -76,6 +80,7 @@
 		summaryBytes:      set.NewCounter("wisteriaweir_summary_bytes_sent_total"),
 		malformedMessages: set.NewCounter("wisteriaweir_notes_malformed_total"),
 		droppedMessages:   set.NewCounter("wisteriaweir_notes_dropped_total"),
+		ignoredUpdates:    set.NewCounter("wisteriaweir_store_updates_ignored_total"),
 		openingSeconds:    set.NewHistogram("wisteriaweir_opening_seconds"),
 		requestSeconds:    set.NewHistogram("wisteriaweir_request_seconds"),
 		waitSeconds:       set.NewHistogram("wisteriaweir_wait_seconds"),
@@ -128,6 +133,7 @@
 // registerGauges registers the metrics whose values are read on each scrape.
 func (h *Host) registerGauges() {
 	h.metrics.NewGauge("wisteriaweir_routes_number", func() float64 { return float64(h.currentCatalog.Load().Routes().Number()) })
+	h.metrics.NewGauge("wisteriaweir_store_era", func() float64 { return float64(h.storeEra.Load()) })
 	h.metrics.NewGauge("wisteriaweir_targets", func() float64 { return float64(len(h.currentCatalog.Load().Targets())) })
 	h.metrics.NewGauge("wisteriaweir_confirmed_age_seconds", func() float64 { return h.catalogAge(h.now()).Seconds() })
 	h.metrics.NewGauge("wisteriaweir_reading", func() float64 { return boolToFloat(h.isReading.Load()) })
@@ -159,3 +165,25 @@
 	c.set.GetOrCreateCounter(name).Inc()
 	c.storeSeconds.Update(s.Duration.Seconds())
 }
+
+// observeStoreCall counts one call to the store, and logs when the store has come back
+// from an older copy.
+func (h *Host) observeStoreCall(s platform.StoreCall) {
+	h.counters.countStoreCall(s)
+	for known := h.storeEra.Load(); s.Era > known; known = h.storeEra.Load() {
+		if !h.storeEra.CompareAndSwap(known, s.Era) {
+			continue
+		}
+		if known > 0 {
+			c := h.currentCatalog.Load()
+			h.log.WithFields(log.Fields{
+				"era": s.Era, "before": known, "kind": s.Kind, "routes_revision": c.RoutesRevision(), "targets_revision": c.TargetsRevision(),
+			}).Warn("host: store is back from an older copy")
+		}
+	}
+}
+
+// formatDigest returns the form of a digest in logs and dumps.
+func formatDigest(sum uint64) string {
+	return fmt.Sprintf("%016x", sum)
+}
--- a/host/dump.go
+++ b/host/dump.go
@@ -26,6 +26,14 @@
 	Routes uint64 `json:"routes"`
 	// RoutesRevision is the store's revision of the routing table.
 	RoutesRevision uint64 `json:"routes_revision"`
+	// RoutesDigest is a hash of the routing table. Hosts with equal tables have equal
+	// digests.
+	RoutesDigest string `json:"routes_digest"`
+	// TargetsDigest is a hash of all targets. Hosts with equal targets have equal digests.
+	TargetsDigest string `json:"targets_digest"`
+	// StoreEra is the highest era that a response of the store has named to this host, 0 if
+	// none has. It rises each time that the store comes back from an older copy.
+	StoreEra uint64 `json:"store_era"`
 	// RoutesSize is the number of routes.
 	RoutesSize int `json:"routes_size"`
 	// TargetsRevision is the store's revision up to which the targets are known.
@@ -94,6 +102,7 @@
 		Leaving: h.draining.Load(), Reading: h.isReading.Load(), Confirmed: h.catalogAge(now).Round(time.Millisecond).String(),
 		Routes: c.Routes().Number(), RoutesRevision: c.RoutesRevision(), RoutesSize: c.Routes().Size(),
 		TargetsRevision: c.TargetsRevision(), EvacuationsRevision: c.EvacuationsRevision(), Isolated: h.isolated.Load(),
+		RoutesDigest: formatDigest(c.Routes().Digest()), TargetsDigest: formatDigest(c.TargetsDigest()), StoreEra: h.storeEra.Load(),
 	}
 	var loads map[string]placement.EvacuatedLoad
 	h.inspect(ctx, h.inspectFlows, func() {
--- a/host/host.go
+++ b/host/host.go
@@ -113,6 +113,8 @@
 	isReading atomic.Bool
 	// currentCatalog is the catalog that the control goroutine last published.
 	currentCatalog atomic.Pointer[catalog.Catalog]
+	// storeEra is the highest era that a response of the store has named, 0 if none has.
+	storeEra atomic.Uint64
 	// knownEvacuations holds, by evacuated failure domain, when this host learned of the
 	// request, as the time since the start of the process. A map that is stored here is
 	// never changed.
@@ -183,7 +185,7 @@
 
 // newStore returns a client of the store at addr.
 func (h *Host) newStore(addr netip.AddrPort) *platform.Store {
-	return platform.NewStore(platform.StoreConfig{URL: "http://" + addr.String(), Observe: h.counters.countStoreCall})
+	return platform.NewStore(platform.StoreConfig{URL: "http://" + addr.String(), Observe: h.observeStoreCall})
 }
 
 // now returns the time since the start of the process.
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -63,7 +63,7 @@
 	UsesEvacuations bool
 }
 
-// Effect is an action that the caller of a Core must execute: Send or Publish.
+// Effect is an action that the caller of a Core must execute: Send, Publish or Ignored.
 type Effect interface {
 	isEffect()
 }
@@ -79,8 +79,25 @@
 	Catalog catalog.Catalog
 }
 
+// Ignored is the effect of reporting a response of the store that differs from the
+// catalog and was not applied, because the catalog is newer by revision or version number.
+// It is rare: a response that another reader's update has overtaken, or a store that has
+// come back from an older copy.
+type Ignored struct {
+	// Revision is the revision of the response.
+	Revision uint64
+	// CatalogRevision is the revision of the same part of the catalog.
+	CatalogRevision uint64
+	// Number is the version number of the routing table in the response, 0 if the response
+	// is about targets.
+	Number uint64
+	// CatalogNumber is the version number of the catalog's routing table.
+	CatalogNumber uint64
+}
+
 func (Send) isEffect()    {}
 func (Publish) isEffect() {}
+func (Ignored) isEffect() {}
 
 // peer is what this host knows of another host.
 type peer struct {
@@ -221,12 +238,30 @@
 	if delta.RouteChanges == nil && delta.Routes == nil && !delta.HasAllTargets && len(delta.Changes) == 0 {
 		return nil // The list contains nothing new.
 	}
-	if c.apply(delta) && c.reading {
+	switch advanced := c.apply(delta); {
+	case !advanced:
+		c.reportIgnored(u)
+	case c.reading:
 		c.broadcast(delta)
 	}
 	return c.drainEffects()
 }
 
+// reportIgnored adds an Ignored effect if a response of the store that was not applied has
+// other content than the catalog.
+func (c *Core) reportIgnored(u Update) {
+	ignored := Ignored{Revision: u.Revision, CatalogRevision: c.catalog.TargetsRevision(), CatalogNumber: c.catalog.Routes().Number()}
+	if u.Routes != nil {
+		if u.Routes.Digest() == c.catalog.Routes().Digest() {
+			return
+		}
+		ignored.CatalogRevision, ignored.Number = c.catalog.RoutesRevision(), u.Routes.Number()
+	} else if !c.catalog.Lacks(u.Changes) && (!u.HasAllTargets || len(c.catalog.Diff(u.Targets, u.Revision)) == 0) {
+		return
+	}
+	c.effects = append(c.effects, ignored)
+}
+
 // toDelta converts a snapshot of the routing table or of all targets into the
 // changes since the previous catalog. It returns u unchanged if u is no snapshot, or
 // if the previous catalog has no routing table or no targets to compare it with.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -24,6 +24,9 @@
 		a := route.NewTable(1, time.Second, rapid.SliceOf(routes).Draw(t, "a"))
 		b := route.NewTable(2, 2*time.Second, rapid.SliceOf(routes).Draw(t, "b"))
 		got := a.WithChanges(a.Diff(b))
+		if got.Digest() != b.Digest() {
+			t.Fatalf("digest %x, want %x", got.Digest(), b.Digest())
+		}
 		if got.Number() != 2 || got.IdleTimeout() != b.IdleTimeout() || got.Size() != b.Size() {
 			t.Fatalf("got a table of %d routes, want %d", got.Size(), b.Size())
 		}
