--- a/reader/fleet_test.go
+++ b/reader/fleet_test.go
@@ -70,6 +70,29 @@
 	// revision 1, and so on. Evacuations are served only if usesEvacuations is set.
 	evacuationChanges []evacuation.Change
 	usesEvacuations   bool
+	// hasExtra reports whether the store has one more route and one more target than
+	// someRoutes and someTargets return.
+	hasExtra bool
+}
+
+// table returns the store's routing table.
+func (f *fleet) table() route.Table {
+	routes := someRoutes(3)
+	if f.hasExtra {
+		routes = someRoutes(4)
+	}
+	return route.NewTable(f.revision, time.Second, routes)
+}
+
+// targets returns the store's targets.
+func (f *fleet) targets() []catalog.Target {
+	targets := someTargets(int(f.revision))
+	if f.hasExtra {
+		extra := targets[0]
+		extra.ID, extra.Revision = "extra", f.revision
+		targets = append(targets, extra)
+	}
+	return targets
 }
 
 // newFleet returns a fleet of hosts that know each other.
@@ -172,9 +195,9 @@
 		f.applyEffects(h, h.core.HandleStoreUpdate(f.now, reader.Update{Revision: f.revision}))
 		return
 	}
-	table := route.NewTable(f.revision, time.Second, someRoutes(3))
+	table := f.table()
 	f.applyEffects(h, h.core.HandleStoreUpdate(f.now, reader.Update{Revision: f.revision, Routes: &table}))
-	u := reader.Update{Revision: f.revision, HasAllTargets: true, Targets: someTargets(int(f.revision))}
+	u := reader.Update{Revision: f.revision, HasAllTargets: true, Targets: f.targets()}
 	if h.watchedRevision > 0 {
 		u.HasAllTargets, u.Targets = false, nil
 		for _, t := range someTargets(int(f.revision))[h.watchedRevision:] {
