Apply a delta of another host only to the content that it was computed from

What callers saw: after a partition, hosts kept routes that the operator had removed, or held an older state of a route, under the number of the newest routing table. Nothing corrected it until that route changed again. Cause: a delta names the revision that it starts from, and a host applied it as soon as it held that revision or a later one. A reader that was cut off publishes the difference from its own old table when it is back; what the others had added meanwhile, and the operator has removed since, is not in it. The same holds for a target between two lists, and for update requests answered from the log. Change: each delta carries the digest of the content after it. Without a digest (an earlier release) it is as before. Why it works: whatever way two hosts came to different content, a delta between them cannot carry that on under a newer revision.

--- a/host/control.go
+++ b/host/control.go
@@ -235,6 +235,9 @@
 			c.sendMessage(e)
 		case reader.Publish:
 			c.publish(e.Catalog)
+		case reader.Mismatch:
+			c.h.counters.mismatchedDeltas.Inc()
+			c.h.log.WithFields(log.Fields{"revision": e.Revision, "base": e.BaseRevision, "routes": e.IsRoutes}).Info("host: delta does not fit the catalog, requesting a snapshot")
 		case reader.Ignored:
 			c.h.counters.ignoredUpdates.Inc()
 			c.h.log.WithFields(log.Fields{
--- a/host/count.go
+++ b/host/count.go
@@ -29,6 +29,8 @@
 	malformedMessages, droppedMessages *metrics.Counter
 	// Responses of the store that differ from the catalog and were not applied.
 	ignoredUpdates *metrics.Counter
+	// Deltas of other hosts that were computed from other content than the catalog's.
+	mismatchedDeltas *metrics.Counter
 	// Flows that were reset, and packets that were dropped without a reset.
 	rejectedByReason, droppedByReason map[placement.Reason]*metrics.Counter
 	flowEvents                        map[placement.FlowEvent]*metrics.Counter
@@ -81,6 +83,7 @@
 		malformedMessages: set.NewCounter("wisteriaweir_notes_malformed_total"),
 		droppedMessages:   set.NewCounter("wisteriaweir_notes_dropped_total"),
 		ignoredUpdates:    set.NewCounter("wisteriaweir_store_updates_ignored_total"),
+		mismatchedDeltas:  set.NewCounter("wisteriaweir_deltas_mismatched_total"),
 		openingSeconds:    set.NewHistogram("wisteriaweir_opening_seconds"),
 		requestSeconds:    set.NewHistogram("wisteriaweir_request_seconds"),
 		waitSeconds:       set.NewHistogram("wisteriaweir_wait_seconds"),
--- a/reader/codec.go
+++ b/reader/codec.go
@@ -260,7 +260,7 @@
 
 // updateToProto returns the wire form of an update.
 func updateToProto(u Update) *readerpb.Content {
-	m := &readerpb.Content{Revision: u.Revision, Full: u.HasAllTargets, From: u.BaseRevision}
+	m := &readerpb.Content{Revision: u.Revision, Full: u.HasAllTargets, From: u.BaseRevision, Digest: u.Digest}
 	switch {
 	case u.Routes != nil:
 		m.Table = tableToProto(u.Routes.Number(), u.Routes.IdleTimeout(), u.Routes.Routes(), u.Routes.Warmups())
@@ -287,7 +287,7 @@
 
 // updateFromProto returns the update of a wire form.
 func updateFromProto(m *readerpb.Content) Update {
-	u := Update{Revision: m.Revision, HasAllTargets: m.Full, BaseRevision: m.From}
+	u := Update{Revision: m.Revision, HasAllTargets: m.Full, BaseRevision: m.From, Digest: m.Digest}
 	if m.Table != nil {
 		return addTableFromProto(u, m.Table)
 	}
--- a/reader/codec_test.go
+++ b/reader/codec_test.go
@@ -57,7 +57,7 @@
 		reader.Update{Revision: 12, HasAllTargets: true, Targets: someTargets(150)},
 		reader.Update{Revision: 12, BaseRevision: 10, Changes: []catalog.Change{{Target: someTargets(1)[0]}}},
 		reader.Update{Revision: 13, BaseRevision: 12, Changes: []catalog.Change{{Target: catalog.Target{ID: "i-1", Revision: 13}, Removed: true}}},
-		reader.Update{Revision: 14, BaseRevision: 2, RouteChanges: &route.Changes{
+		reader.Update{Revision: 14, BaseRevision: 2, Digest: 1<<63 + 5, RouteChanges: &route.Changes{
 			Number: 4, IdleTimeout: time.Second, Updated: someRoutes(3), Removed: []route.Address{{IP: 4, Port: 80}},
 			Warmups: map[string]route.Warmup{"desk": {Duration: 2 * time.Second, Rate: 7.5}, "intake": {Duration: time.Second}},
 		}},
--- a/reader/note.go
+++ b/reader/note.go
@@ -56,6 +56,10 @@
 	Revision uint64
 	// BaseRevision is the revision that a delta applies to.
 	BaseRevision uint64
+	// Digest is the digest of the whole routing table, or of all targets, after a delta. A
+	// delta whose result has another digest was computed from other content than the
+	// receiver has. 0 means that it is not known.
+	Digest uint64
 	// Routes is the snapshot of the routing table.
 	Routes *route.Table
 	// RouteChanges is a delta of the routing table.
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -63,7 +63,8 @@
 	UsesEvacuations bool
 }
 
-// Effect is an action that the caller of a Core must execute: Send, Publish or Ignored.
+// Effect is an action that the caller of a Core must execute: Send, Publish, Ignored
+// or Mismatch.
 type Effect interface {
 	isEffect()
 }
@@ -95,9 +96,21 @@
 	CatalogNumber uint64
 }
 
-func (Send) isEffect()    {}
-func (Publish) isEffect() {}
-func (Ignored) isEffect() {}
+// Mismatch is the effect of reporting a delta of another host that was not applied,
+// because it was computed from other content than the catalog's. A snapshot is requested
+// instead.
+type Mismatch struct {
+	// Revision is the revision after the delta, BaseRevision that before it.
+	Revision, BaseRevision uint64
+	// IsRoutes reports whether the delta is about the routing table. Otherwise it is about
+	// targets.
+	IsRoutes bool
+}
+
+func (Send) isEffect()     {}
+func (Publish) isEffect()  {}
+func (Ignored) isEffect()  {}
+func (Mismatch) isEffect() {}
 
 // peer is what this host knows of another host.
 type peer struct {
@@ -128,7 +141,10 @@
 	// routeLog and targetLog hold the last changes of the catalog's routes and targets.
 	routeLog  updateLog
 	targetLog updateLog
-	effects   []Effect
+	// needsRoutes and needsTargets report whether the last delta of the part did not fit
+	// the catalog's content, so that a snapshot is needed.
+	needsRoutes, needsTargets bool
+	effects                   []Effect
 
 	// reading reports whether this host reads the store.
 	reading bool
@@ -238,6 +254,7 @@
 	if delta.RouteChanges == nil && delta.Routes == nil && !delta.HasAllTargets && len(delta.Changes) == 0 {
 		return nil // The list contains nothing new.
 	}
+	delta.Digest = digestOfPart(c.afterUpdate(delta), delta)
 	switch advanced := c.apply(delta); {
 	case !advanced:
 		c.reportIgnored(u)
--- a/reader/spread.go
+++ b/reader/spread.go
@@ -26,13 +26,21 @@
 	c.requestUpdates(now, p)
 }
 
-// requestUpdates requests everything from a peer that is newer than the catalog.
+// requestUpdates requests everything from a peer that is newer than the catalog. It
+// requests a snapshot of a part to which the last delta could not be applied.
 func (c *Core) requestUpdates(now time.Duration, p *peer) {
 	c.lastRequestAt = now
-	c.send(p.Member, UpdateRequest{
+	r := UpdateRequest{
 		RoutesRevision: c.catalog.RoutesRevision(), TargetsRevision: c.catalog.TargetsRevision(),
 		EvacuationsRevision: c.catalog.EvacuationsRevision(),
-	})
+	}
+	if c.needsRoutes {
+		r.RoutesRevision = 0
+	}
+	if c.needsTargets {
+		r.TargetsRevision = 0
+	}
+	c.send(p.Member, r)
 }
 
 // sendMissing sends a host the updates that it lacks: a delta if the update log
@@ -133,23 +141,48 @@
 }
 
 // apply applies an update to the catalog and reports whether the catalog advanced.
-// Updates that are not newer than the catalog have no effect.
+// Updates that are not newer than the catalog have no effect, and neither have deltas
+// that do not fit the catalog's content.
 func (c *Core) apply(u Update) bool {
-	previous := c.catalog
+	next := c.afterUpdate(u)
+	routesAdvanced := next.RoutesRevision() != c.catalog.RoutesRevision()
+	targetsAdvanced := next.TargetsRevision() != c.catalog.TargetsRevision()
+	if !routesAdvanced && !targetsAdvanced {
+		return false
+	}
+	if u.Digest != 0 && u.Digest != digestOfPart(next, u) {
+		c.needsRoutes = c.needsRoutes || routesAdvanced
+		c.needsTargets = c.needsTargets || targetsAdvanced
+		c.effects = append(c.effects, Mismatch{Revision: u.Revision, BaseRevision: u.BaseRevision, IsRoutes: routesAdvanced})
+		return false
+	}
+	c.needsRoutes = c.needsRoutes && !routesAdvanced
+	c.needsTargets = c.needsTargets && !targetsAdvanced
+	c.catalog = next
+	c.logUpdate(u)
+	c.effects = append(c.effects, Publish{Catalog: c.catalog})
+	return true
+}
+
+// afterUpdate returns the catalog with an update applied.
+func (c *Core) afterUpdate(u Update) catalog.Catalog {
 	switch {
 	case u.Routes != nil:
-		c.catalog = c.catalog.WithRoutes(*u.Routes, u.Revision)
+		return c.catalog.WithRoutes(*u.Routes, u.Revision)
 	case u.RouteChanges != nil:
-		c.catalog = c.catalog.WithRoutes(c.catalog.Routes().WithChanges(*u.RouteChanges), u.Revision)
+		return c.catalog.WithRoutes(c.catalog.Routes().WithChanges(*u.RouteChanges), u.Revision)
 	case u.HasAllTargets:
-		c.catalog = c.catalog.WithTargets(u.Targets, u.Revision)
+		return c.catalog.WithTargets(u.Targets, u.Revision)
 	default:
-		c.catalog = c.catalog.WithChanges(u.Changes, u.Revision)
+		return c.catalog.WithChanges(u.Changes, u.Revision)
 	}
-	advanced := previous.RoutesRevision() != c.catalog.RoutesRevision() || previous.TargetsRevision() != c.catalog.TargetsRevision()
-	if advanced {
-		c.logUpdate(u)
-		c.effects = append(c.effects, Publish{Catalog: c.catalog})
+}
+
+// digestOfPart returns the digest of the part of the catalog that an update is about: the
+// routing table or the targets.
+func digestOfPart(cat catalog.Catalog, u Update) uint64 {
+	if u.Routes != nil || u.RouteChanges != nil {
+		return cat.Routes().Digest()
 	}
-	return advanced
+	return cat.TargetsDigest()
 }
--- a/reader/trail.go
+++ b/reader/trail.go
@@ -39,7 +39,7 @@
 		if u.Revision <= revision {
 			continue
 		}
-		merged.Revision = u.Revision
+		merged.Revision, merged.Digest = u.Revision, u.Digest
 		for _, ch := range u.Changes {
 			targets[ch.Target.ID] = ch
 		}
