Keep an evacuation in force that a restored store has lost

What callers saw: new flows to an evacuated failure domain, from a restore of the store until the operator had requested the evacuation again. Change: evacuations that are missing at the beginning of an era stay in force for 10 s, on each host for itself; one that is requested again can be withdrawn at once. Run: TestLostEvacuationStaysInForce failed before ('west-b' alone), go test of reader and catalog green. Conclusion: only a new era takes this path.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -133,6 +133,14 @@
 	return c
 }
 
+// WithAddedEvacuations returns c with more evacuated failure domains, at the same position.
+func (c Catalog) WithAddedEvacuations(s evacuation.Set) Catalog {
+	for _, domain := range s.Domains() {
+		c.evacuations = c.evacuations.With(domain)
+	}
+	return c
+}
+
 // WithRoutes returns c with the routing table t. It returns c unchanged if t is not newer
 // than c's own table.
 func (c Catalog) WithRoutes(t route.Table, position Position) Catalog {
--- a/reader/evacuation_test.go
+++ b/reader/evacuation_test.go
@@ -7,6 +7,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"wisteriaweir/catalog"
 	"wisteriaweir/evacuation"
 	"wisteriaweir/reader"
 )
@@ -143,3 +144,34 @@
 	qt.Assert(t, effects, qt.HasLen, 1)
 	qt.Assert(t, c.Catalog().Evacuations().Size(), qt.Equals, 0)
 }
+
+// TestLostEvacuationStaysInForce guards against new flows to a failure domain whose
+// evacuation the store has lost by coming back from an older copy, before the operator has
+// requested it again.
+func TestLostEvacuationStaysInForce(t *testing.T) {
+	c := reader.New(reader.Config{Self: self, UsesEvacuations: true})
+	requested, listed := evacuation.NewSet("west-a", "west-b"), evacuation.NewSet("west-b")
+	c.HandleStoreUpdate(0, reader.Update{Position: catalog.Position{Era: 1, Revision: 20}, Evacuations: &requested})
+	published := func(effects []reader.Effect) []string {
+		for _, e := range effects {
+			if p, ok := e.(reader.Publish); ok {
+				return p.Catalog.Evacuations().Domains()
+			}
+		}
+		return nil
+	}
+	restored := func(revision uint64, set *evacuation.Set) []reader.Effect {
+		return c.HandleStoreUpdate(time.Second, reader.Update{Position: catalog.Position{Era: 2, Revision: revision}, Evacuations: set})
+	}
+	qt.Assert(t, published(restored(12, &listed)), qt.DeepEquals, []string{"west-a", "west-b"})
+	qt.Assert(t, c.Catalog().Evacuations().Domains(), qt.DeepEquals, []string{"west-b"})
+	qt.Assert(t, published(c.Tick(9*time.Second)), qt.HasLen, 0)
+	qt.Assert(t, published(c.Tick(12*time.Second)), qt.DeepEquals, []string{"west-b"})
+
+	// Requested again and withdrawn: it must not come back.
+	none := evacuation.NewSet()
+	c.HandleStoreUpdate(13*time.Second, reader.Update{Position: catalog.Position{Era: 3, Revision: 11}, Evacuations: &none})
+	c.HandleStoreUpdate(13*time.Second, reader.Update{Position: catalog.Position{Era: 3, Revision: 12}, Evacuations: &listed})
+	withdrawn := c.HandleStoreUpdate(14*time.Second, reader.Update{Position: catalog.Position{Era: 3, Revision: 13}, Evacuations: &none})
+	qt.Assert(t, published(withdrawn), qt.HasLen, 0)
+}
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -37,6 +37,7 @@
 	"time"
 
 	"wisteriaweir/catalog"
+	"wisteriaweir/evacuation"
 )
 
 const (
@@ -147,7 +148,11 @@
 	// needsRoutes and needsTargets report whether the last delta of the part did not fit
 	// the catalog's content, so that a snapshot is needed.
 	needsRoutes, needsTargets bool
-	effects                   []Effect
+	// lostEvacuations are evacuations that the store has lost by coming back from an older
+	// copy. They stay in force until lostUntil.
+	lostEvacuations evacuation.Set
+	lostUntil       time.Duration
+	effects         []Effect
 
 	// reading reports whether this host reads the store.
 	reading bool
@@ -211,6 +216,7 @@
 
 // Tick starts or stops reading and sends a heartbeat, if either is due.
 func (c *Core) Tick(now time.Duration) []Effect {
+	c.expireLostEvacuations(now)
 	c.updateReading(now)
 	if c.reading && now-c.lastHeartbeatSentAt >= c.heartbeatInterval() {
 		c.lastHeartbeatSentAt = now
@@ -233,7 +239,7 @@
 	case Update:
 		c.handleUpdate(now, p, m)
 	case EvacuationUpdate:
-		c.applyEvacuations(m)
+		c.applyEvacuations(now, m)
 	case Load:
 		// Load reports are processed by package placement.
 	}
@@ -246,7 +252,7 @@
 func (c *Core) HandleStoreUpdate(now time.Duration, u Update) []Effect {
 	c.storeRespondedAt, c.hasStoreResponse = now, true
 	if u.Evacuations != nil || len(u.EvacuationChanges) > 0 {
-		return c.handleStoreEvacuations(u)
+		return c.handleStoreEvacuations(now, u)
 	}
 	if u.Routes == nil && !u.HasAllTargets && len(u.Changes) == 0 {
 		return nil
--- a/reader/spread.go
+++ b/reader/spread.go
@@ -86,39 +86,6 @@
 	}
 }
 
-// ownEvacuations returns a snapshot of the evacuated failure domains in the catalog.
-func (c *Core) ownEvacuations() EvacuationUpdate {
-	return EvacuationUpdate{Position: c.catalog.EvacuationsPosition(), Set: c.catalog.Evacuations()}
-}
-
-// handleStoreEvacuations applies a response of the store with evacuations, and sends the
-// result to the group if this host is a reader.
-func (c *Core) handleStoreEvacuations(u Update) []Effect {
-	set := c.catalog.Evacuations().WithChanges(u.EvacuationChanges)
-	if u.Evacuations != nil {
-		set = *u.Evacuations
-		if c.catalog.EvacuationsPosition().IsKnown() && set.Equal(c.catalog.Evacuations()) {
-			return nil // The list contains nothing new.
-		}
-	}
-	if c.applyEvacuations(EvacuationUpdate{Position: u.Position, Set: set}) && c.reading {
-		c.broadcast(c.ownEvacuations())
-	}
-	return c.drainEffects()
-}
-
-// applyEvacuations applies a snapshot of the evacuated failure domains to the catalog. It
-// reports whether the snapshot was newer than that in the catalog.
-func (c *Core) applyEvacuations(u EvacuationUpdate) bool {
-	previous := c.catalog.EvacuationsPosition()
-	c.catalog = c.catalog.WithEvacuations(u.Set, u.Position)
-	if c.catalog.EvacuationsPosition() == previous {
-		return false
-	}
-	c.effects = append(c.effects, Publish{Catalog: c.catalog})
-	return true
-}
-
 // allTargets returns a snapshot of all targets.
 func (c *Core) allTargets() Update {
 	targets := make([]catalog.Target, 0, len(c.catalog.Targets()))
@@ -180,7 +147,7 @@
 	c.needsTargets = c.needsTargets && !targetsAdvanced
 	c.catalog = next
 	c.logUpdate(u)
-	c.effects = append(c.effects, Publish{Catalog: c.catalog})
+	c.publish()
 	return true
 }
 
