Restore the store from a copy in the soak

Change: a fault 'store restored': the store is away, comes back from a copy up to five seconds old, and the operator writes again what was lost.

--- a/soak/evacuation.go
+++ b/soak/evacuation.go
@@ -1,10 +1,6 @@
 package soak
 
-import (
-	"time"
-
-	"wisteriaweir/platform"
-)
+import "time"
 
 const (
 	// evacuationBound is the time after a request was acknowledged by the store from which
@@ -13,9 +9,9 @@
 	// resumeTime is the time within which a host that was paused learns what it has missed:
 	// a heartbeat interval (500 ms), the time between two requests for updates, and a reserve.
 	resumeTime = 1500 * time.Millisecond
-	// withdrawRetryDelay is the delay before a withdrawal that the store has refused is
-	// made again.
-	withdrawRetryDelay = 100 * time.Millisecond
+	// writeRetryDelay is the delay before a write of the operator that the store has refused
+	// is made again.
+	writeRetryDelay = 100 * time.Millisecond
 )
 
 // injectEvacuation evacuates a failure domain, checks its targets at the end of the
@@ -26,15 +22,21 @@
 	if !r.setEvacuated(domain, true) {
 		return
 	}
-	defer r.setEvacuated(domain, false)
+	defer r.withdraw(domain)
 	if r.env.Evacuate(r.ctx, domain) == nil {
 		acknowledgedAt, downTime := time.Now(), r.totalStoreDownTime()
 		r.sleep(s.Duration)
 		r.checkEvacuated(domain, acknowledgedAt, r.totalStoreDownTime()-downTime)
 	}
-	// A request that returned an error may have taken effect, so it is withdrawn, too.
-	for r.env.Withdraw(r.ctx, domain) != nil && platform.Sleep(r.ctx, withdrawRetryDelay) == nil {
-	}
+}
+
+// withdraw withdraws the evacuation of a failure domain. A request that returned an error
+// may have taken effect, so it is withdrawn, too.
+func (r *run) withdraw(domain string) {
+	r.evacuationWrites.Lock()
+	defer r.evacuationWrites.Unlock()
+	r.retryWrite(func() error { return r.env.Withdraw(r.ctx, domain) })
+	r.setEvacuated(domain, false)
 }
 
 // setEvacuated records whether a failure domain is evacuated, and reports whether that
@@ -60,12 +62,17 @@
 // checkEvacuated checks that the targets of an evacuated failure domain have received no
 // new flows later than evacuationBound after the request was acknowledged, plus the time
 // for which the store was down for all hosts since. A host that was paused may use its old
-// catalog for resumeTime. Other faults do not extend the time.
+// catalog for resumeTime. A host that starts before the operator has requested again what a
+// restore has lost cannot know it: it has resumeTime from then on. Other faults do not
+// extend the time.
 func (r *run) checkEvacuated(domain string, acknowledgedAt time.Time, downTime time.Duration) {
 	if r.ctx.Err() != nil || r.store.Faults().Outage {
 		return
 	}
 	until := acknowledgedAt.Add(evacuationBound + downTime)
+	r.mu.Lock()
+	until = later(until, r.rewrittenAt.Add(resumeTime))
+	r.mu.Unlock()
 	for _, h := range r.hosts {
 		h.mu.Lock()
 		resumedAt := h.lastResumedAt
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -39,6 +39,9 @@
 	// StoreDown makes the store unavailable to all its clients: hosts, targets and the
 	// operator.
 	StoreDown Fault = "store down"
+	// StoreRestore makes the store unavailable for half of the duration and brings it back
+	// from a copy that is some seconds old. The operator then writes again what was lost.
+	StoreRestore Fault = "store restored"
 	// StoreCompaction removes the store's history, so that watches have to list again.
 	StoreCompaction Fault = "store drops its history"
 	// TargetCrash stops a target without notice, and starts another one in its place
@@ -106,6 +109,9 @@
 	// maxEvacuationGap is the exclusive upper limit of the time between the starts of two
 	// evacuations. Evacuations overlap each other and the other faults.
 	maxEvacuationGap = 8 * time.Second
+	// maxRestoreGap is the exclusive upper limit of the time between the starts of two
+	// restores of the store.
+	maxRestoreGap = 12 * time.Second
 )
 
 // NewPlan returns the fault plan of a seed for a load of the given length, sorted by
@@ -122,6 +128,7 @@
 		})
 	}
 	steps = append(steps, evacuationSteps(seed, length)...)
+	steps = append(steps, restoreSteps(seed, length)...)
 	slices.SortFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
@@ -141,3 +148,17 @@
 		steps = append(steps, Step{At: at, Fault: Evacuation, Selector: rng.IntN(1 << 16), Duration: duration})
 	}
 }
+
+// restoreSteps returns the restores of a plan. Their random numbers are separate, like
+// those of evacuationSteps.
+func restoreSteps(seed uint64, length time.Duration) []Step {
+	rng := rand.New(rand.NewPCG(seed, 0x0e7a))
+	var steps []Step
+	for at := faultFreeStart + time.Duration(rng.Int64N(int64(maxRestoreGap))); at < length-faultFreeEnd; at += maxFaultDuration + time.Duration(rng.Int64N(int64(maxRestoreGap))) {
+		steps = append(steps, Step{
+			At: at, Fault: StoreRestore, Selector: rng.IntN(1 << 16),
+			Duration: minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration))),
+		})
+	}
+	return steps
+}
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -163,3 +163,17 @@
 		_, _ = p.conn.WriteToUDPAddrPort(b[:n], p.targetAddress)
 	}
 }
+
+// storeProxyFaults returns the proxy faults of a fault between a host and the store.
+func storeProxyFaults(f Fault) ProxyFaults {
+	switch f {
+	case StoreUnresponsive:
+		return ProxyFaults{BlockAll: true}
+	case StoreReset:
+		return ProxyFaults{Reset: true}
+	case StoreSlow:
+		return ProxyFaults{Delay: 400 * time.Millisecond}
+	default:
+		return ProxyFaults{DropResponses: true}
+	}
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -88,8 +88,15 @@
 	violations    []string
 	// evacuated holds the failure domains that are evacuated.
 	evacuated map[string]bool
-	// storeFaultEndedAt is the end of the last StoreDown or StoreCompaction, which
-	// affect the store for all hosts.
+	// evacuationWrites is held while the operator writes the state of evacuations, so that
+	// what it writes again after a restore is not older than another write.
+	evacuationWrites sync.Mutex
+	// backups are the copies of the store that a restore may bring back, oldest first.
+	backups []fake.Backup
+	// rewrittenAt is when the operator had written again what the last restore had lost.
+	rewrittenAt time.Time
+	// storeFaultEndedAt is the end of the last StoreDown, StoreRestore or StoreCompaction,
+	// which affect the store for all hosts.
 	storeFaultEndedAt time.Time
 	// storeDownTime is the sum of the durations of the StoreDown faults that have ended.
 	storeDownTime time.Duration
@@ -162,6 +169,7 @@
 		return err
 	}
 	go r.env.Router.Run(r.ctx)
+	go r.copyStore()
 	for end := time.Now().Add(20 * time.Second); r.env.Router.ReadyCount() < r.cfg.Hosts; {
 		if time.Now().After(end) {
 			return fmt.Errorf("soak: only %d of %d hosts are ready after 20 s", r.env.Router.ReadyCount(), r.cfg.Hosts)
@@ -286,6 +294,8 @@
 		r.store.SetFaults(fake.PlatformFaults{})
 		r.recordStoreDown(time.Since(start))
 		r.recordStoreFaultEnd()
+	case StoreRestore:
+		r.injectRestore(s)
 	case StoreCompaction:
 		r.store.Compact()
 		r.recordStoreFaultEnd()
@@ -300,20 +310,6 @@
 	}
 }
 
-// storeProxyFaults returns the proxy faults of a fault between a host and the store.
-func storeProxyFaults(f Fault) ProxyFaults {
-	switch f {
-	case StoreUnresponsive:
-		return ProxyFaults{BlockAll: true}
-	case StoreReset:
-		return ProxyFaults{Reset: true}
-	case StoreSlow:
-		return ProxyFaults{Delay: 400 * time.Millisecond}
-	default:
-		return ProxyFaults{DropResponses: true}
-	}
-}
-
 // recordStoreFaultEnd records the current time as the end of a fault that affected the
 // store for all hosts.
 func (r *run) recordStoreFaultEnd() {
--- a/soak_test.go
+++ b/soak_test.go
@@ -30,6 +30,24 @@
 	}})
 }
 
+// TestSoakRestore guards against hosts that ignore, or mix up, what a store says that is
+// back from an older copy, while hosts start, an evacuation stands and targets change.
+func TestSoakRestore(t *testing.T) {
+	t.Parallel()
+	second := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	runSoakPlan(t, soak.Config{Seed: 2, LoadDuration: 24 * time.Second, Steps: []soak.Step{
+		{At: second(2), Fault: soak.Evacuation, Selector: 1, Duration: 7 * time.Second},
+		{At: second(2.5), Fault: soak.ConfigChange},
+		{At: second(3), Fault: soak.ConfigChange},
+		{At: second(3.5), Fault: soak.TargetReplacement, Selector: 2},
+		{At: second(5.2), Fault: soak.StoreRestore, Selector: 1, Duration: 2 * time.Second},
+		{At: second(5.4), Fault: soak.HostKill, Selector: 1, Duration: time.Second},
+		{At: second(7), Fault: soak.ConfigChange},
+		{At: second(7.5), Fault: soak.StoreRestore, Selector: 0, Duration: 500 * time.Millisecond},
+		{At: second(8.5), Fault: soak.ConfigChange},
+	}})
+}
+
 // runSoakPlan runs a fault plan on 4 hosts and checks that no invariant is violated.
 func runSoakPlan(t *testing.T, cfg soak.Config) {
 	c := qt.New(t)
