Let a restore of the soak lose what hosts have read, and make it the last fault

Cause: with the era left out of the responses, no check of the soak failed: hosts had not read what was lost, and later faults hid the rest. Change: the operator writes 30 configurations, the restore waits until hosts have read them, and the operator writes a newer one after it. Each plan ends with a restore.

--- a/soak/plan.go
+++ b/soak/plan.go
@@ -39,8 +39,9 @@
 	// StoreDown makes the store unavailable to all its clients: hosts, targets and the
 	// operator.
 	StoreDown Fault = "store down"
-	// StoreRestore makes the store unavailable for half of the duration and brings it back
-	// from a copy that is some seconds old. The operator then writes again what was lost.
+	// StoreRestore writes several versions of the configuration, makes the store unavailable
+	// for half of the duration and brings it back from a copy that is some seconds old. The
+	// operator then writes again what was lost.
 	StoreRestore Fault = "store restored"
 	// StoreCompaction removes the store's history, so that watches have to list again.
 	StoreCompaction Fault = "store drops its history"
@@ -149,16 +150,23 @@
 	}
 }
 
-// restoreSteps returns the restores of a plan. Their random numbers are separate, like
-// those of evacuationSteps.
+// restoreSteps returns the restores of a plan. The last one is the last fault, so that no
+// other one hides what hosts make of it. Their random numbers are separate, like those of
+// evacuationSteps.
 func restoreSteps(seed uint64, length time.Duration) []Step {
 	rng := rand.New(rand.NewPCG(seed, 0x0e7a))
+	last := length - faultFreeEnd
+	at := faultFreeStart + time.Duration(rng.Int64N(int64(maxRestoreGap)))
 	var steps []Step
-	for at := faultFreeStart + time.Duration(rng.Int64N(int64(maxRestoreGap))); at < length-faultFreeEnd; at += maxFaultDuration + time.Duration(rng.Int64N(int64(maxRestoreGap))) {
-		steps = append(steps, Step{
-			At: at, Fault: StoreRestore, Selector: rng.IntN(1 << 16),
-			Duration: minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration))),
-		})
+	for at < last-maxFaultDuration {
+		steps = append(steps, restoreStep(rng, at))
+		at += maxFaultDuration + time.Duration(rng.Int64N(int64(maxRestoreGap)))
 	}
-	return steps
+	return append(steps, restoreStep(rng, last))
+}
+
+// restoreStep returns a restore with a random duration and copy.
+func restoreStep(rng *rand.Rand, at time.Duration) Step {
+	duration := minFaultDuration + time.Duration(rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
+	return Step{At: at, Fault: StoreRestore, Selector: rng.IntN(1 << 16), Duration: duration}
 }
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -13,6 +13,12 @@
 	// maxBackups is the number of copies that are kept, and so the age in seconds of the
 	// oldest copy that a restore brings back.
 	maxBackups = 5
+	// lostChanges is the number of configurations that the operator writes right before a
+	// restore. The store loses them, so its revision goes back far enough for hosts to miss
+	// later changes if they compare revisions of different eras.
+	lostChanges = 30
+	// lossDelay is the time from these writes to the restore, in which hosts read them.
+	lossDelay = 1200 * time.Millisecond
 	// rewriteDelay is the time after a restore until the operator writes again what the
 	// store has lost.
 	rewriteDelay = 300 * time.Millisecond
@@ -38,6 +44,12 @@
 	if !ok {
 		return
 	}
+	for range lostChanges {
+		if r.env.Configure(r.ctx) != nil {
+			break // During an outage of the store, the writes fail as expected.
+		}
+	}
+	r.sleep(lossDelay)
 	start := time.Now()
 	r.store.SetFaults(fake.PlatformFaults{Outage: true})
 	r.sleep(s.Duration / 2)
@@ -63,9 +75,11 @@
 	return selected, true
 }
 
-// rewrite writes the newest configuration and the state of the evacuations to the store.
+// rewrite writes the newest configuration and the state of the evacuations to the store, and
+// then the next configuration.
 func (r *run) rewrite() {
 	r.retryWrite(func() error { return r.env.RewriteConfig(r.ctx) })
+	r.retryWrite(func() error { return r.env.Configure(r.ctx) })
 	for _, domain := range domains {
 		r.evacuationWrites.Lock()
 		r.mu.Lock()
