--- a/host/evacuation_test.go
+++ b/host/evacuation_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,12 +16,9 @@
 
 	"wisteriaweir/fake"
 	"wisteriaweir/host"
-	"wisteriaweir/monitor"
 )
 
 const (
-	// evacuationMonitorPort is the port of the hosts' dumps in these tests.
-	evacuationMonitorPort = 9102
 	// feedPort is the port of the route for safe requests.
 	feedPort = 8443
 	// openingTimeout is the time for the response to an opening packet. A host sends an
@@ -64,19 +60,6 @@
 	await(s.t, "ready", func() bool { return status(s.t, s.settings[i]) == http.StatusOK })
 }
 
-func (s *evacuationSystem) monitorAddr(i int) netip.AddrPort {
-	return netip.AddrPortFrom(s.settings[i].IP, evacuationMonitorPort)
-}
-
-// dump returns the dump of a host.
-func (s *evacuationSystem) dump(i int) host.Dump {
-	var d host.Dump
-	raw, err := monitor.FetchDump(context.Background(), s.monitorAddr(i).String())
-	qt.Assert(s.t, err, qt.IsNil)
-	qt.Assert(s.t, json.Unmarshal(raw, &d), qt.IsNil)
-	return d
-}
-
 // metric returns the value of a host's metric wisteriaweir_evacuated_NAME.
 func (s *evacuationSystem) metric(i int, name string) int {
 	_, rest, _ := strings.Cut(metricsPage(s.t, s.monitorAddr(i)), "\nwisteriaweir_evacuated_"+name+" ")
@@ -102,7 +85,7 @@
 	s.t.Helper()
 	for i := range hosts {
 		await(s.t, "evacuations known", func() bool {
-			return slices.EqualFunc(s.dump(i).Evacuated, domains, func(e host.DumpEvacuation, domain string) bool { return e.Domain == domain })
+			return slices.EqualFunc(s.dump(s.t, i).Evacuated, domains, func(e host.DumpEvacuation, domain string) bool { return e.Domain == domain })
 		})
 	}
 }
@@ -170,7 +153,7 @@
 	qt.Assert(t, s.environment.Evacuate(ctx, "west-a"), qt.IsNil)
 	s.awaitEvacuated(2, "west-a")
 	before := runs()
-	await(t, "open flows in a dump", func() bool { return s.dump(0).Evacuated[0].OpenFlows+s.dump(1).Evacuated[0].OpenFlows > 0 })
+	await(t, "open flows in a dump", func() bool { return s.dump(s.t, 0).Evacuated[0].OpenFlows+s.dump(s.t, 1).Evacuated[0].OpenFlows > 0 })
 	await(t, "open flows in the metrics", func() bool { return s.metric(0, "flows")+s.metric(1, "flows") > 0 })
 	qt.Assert(t, s.metric(0, "domains"), qt.Equals, 1)
 	s.checkAvoided(2, "west-a")
@@ -252,7 +235,7 @@
 	qt.Assert(t, s.environment.AddTargets(ctx), qt.IsNil)
 	qt.Assert(t, s.environment.Configure(ctx), qt.IsNil)
 	qt.Assert(t, s.environment.Evacuate(ctx, "west-a"), qt.IsNil)
-	monitorAddr := netip.AddrPortFrom(s.settings[0].IP, evacuationMonitorPort)
+	monitorAddr := netip.AddrPortFrom(s.settings[0].IP, testMonitorPort)
 	start(t, host.Config{Settings: s.settings[0], MonitorAddr: monitorAddr})
 	await(t, "ready", func() bool { return status(t, s.settings[0]) == http.StatusOK })
 	got, err := s.environment.ProbeRoute(s.settings[0].PacketAddr, feedPort, openingTimeout)
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -31,6 +31,8 @@
 	testNetByte = 250
 	// testPacketPort is the UDP port of packets.
 	testPacketPort = 7400
+	// testMonitorPort is the port of the hosts' dumps and metrics.
+	testMonitorPort = 9102
 )
 
 // system holds the settings of the hosts and the fakes around them.
@@ -97,6 +99,20 @@
 	return s
 }
 
+// monitorAddr returns the monitor address of a host.
+func (s *system) monitorAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(s.settings[i].IP, testMonitorPort)
+}
+
+// dump returns the dump of a host.
+func (s *system) dump(t *testing.T, i int) host.Dump {
+	var d host.Dump
+	raw, err := monitor.FetchDump(context.Background(), s.monitorAddr(i).String())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, json.Unmarshal(raw, &d), qt.IsNil)
+	return d
+}
+
 // start runs a host. The returned function stops it and returns how long that took.
 func start(t *testing.T, cfg host.Config) (stop func() time.Duration) {
 	if cfg.Log == nil {
@@ -150,8 +166,7 @@
 	s := newSystem(t, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	monitorAddr := netip.AddrPortFrom(s.settings[0].IP, 9102)
-	stop := start(t, host.Config{Settings: s.settings[0], Seed: 1, MonitorAddr: monitorAddr})
+	stop := start(t, host.Config{Settings: s.settings[0], Seed: 1, MonitorAddr: s.monitorAddr(0)})
 	start(t, host.Config{Settings: s.settings[1], Seed: 2})
 	await(t, "a response", func() bool { return status(t, s.settings[0]) != 0 })
 	qt.Assert(t, status(t, s.settings[0]), qt.Equals, http.StatusServiceUnavailable)
@@ -169,10 +184,7 @@
 	go func() { done <- s.environment.Callers.Run(loadCtx) }()
 
 	time.Sleep(1500 * time.Millisecond)
-	var d host.Dump
-	raw, err := monitor.FetchDump(ctx, monitorAddr.String())
-	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, json.Unmarshal(raw, &d), qt.IsNil)
+	d := s.dump(t, 0)
 	qt.Check(t, d.Routes, qt.Equals, uint64(1))
 	qt.Check(t, len(d.Targets), qt.Equals, 4)
 	qt.Check(t, len(d.Members), qt.Equals, 2)
--- a/host/restore_test.go
+++ b/host/restore_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
-	"net/netip"
 	"testing"
 	"time"
 
@@ -12,7 +10,6 @@
 
 	"wisteriaweir/fake"
 	"wisteriaweir/host"
-	"wisteriaweir/monitor"
 	"wisteriaweir/platform"
 )
 
@@ -49,26 +46,13 @@
 	return s
 }
 
-func (s *restoreSystem) monitorAddr(i int) netip.AddrPort {
-	return netip.AddrPortFrom(s.settings[i].IP, evacuationMonitorPort)
-}
-
-// dump returns the dump of a host.
-func (s *restoreSystem) dump(i int) host.Dump {
-	var d host.Dump
-	raw, err := monitor.FetchDump(context.Background(), s.monitorAddr(i).String())
-	qt.Assert(s.t, err, qt.IsNil)
-	qt.Assert(s.t, json.Unmarshal(raw, &d), qt.IsNil)
-	return d
-}
-
 // awaitInForce waits until all hosts use the newest configuration and know all targets. It
 // fails the test if that takes longer than maxApplyDelay.
 func (s *restoreSystem) awaitInForce() {
 	s.t.Helper()
 	end := time.Now().Add(maxApplyDelay)
 	for i := range s.settings {
-		for d := s.dump(i); d.Routes != uint64(s.environment.Version()) || len(d.Targets) != len(s.environment.Targets()); d = s.dump(i) {
+		for d := s.dump(s.t, i); d.Routes != uint64(s.environment.Version()) || len(d.Targets) != len(s.environment.Targets()); d = s.dump(s.t, i) {
 			if time.Now().After(end) {
 				s.t.Fatalf("host %d has routes %d and %d targets, want %d and %d", i, d.Routes, len(d.Targets), s.environment.Version(), len(s.environment.Targets()))
 			}
