Advance to a new era of the store also when its copy holds nothing new

A host whose entry the copy lacks was not asked to write it again as long as no target changed, and targets were not treated as after an outage. Cause: a list without differences left the position of the catalog where it was. Change: it advances the position if the era is a new one, and other hosts are told. Run: TestEraWithoutChanges failed before, green now; TestRestoredStore with 2,000 histories green.

--- a/reader/evacuation.go
+++ b/reader/evacuation.go
@@ -22,7 +22,8 @@
 	set := c.catalog.Evacuations().WithChanges(u.EvacuationChanges)
 	if u.Evacuations != nil {
 		set = *u.Evacuations
-		if c.catalog.EvacuationsPosition().IsKnown() && set.Equal(c.catalog.Evacuations()) {
+		known := c.catalog.EvacuationsPosition()
+		if known.IsKnown() && known.Era >= u.Position.Era && set.Equal(c.catalog.Evacuations()) {
 			return nil // The list contains nothing new.
 		}
 	}
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -25,8 +25,7 @@
 // the store, so that more readers than needed do no harm. Each part of the catalog
 // has a position in the store: the era, which rises when the store comes back from an
 // older copy, and the revision within it. A host never replaces a part by an older one. Of
-// two routing tables the one with the higher version number is newer, whatever their
-// positions.
+// two routing tables of different eras, the one with the higher version number is newer.
 //
 // A Core has no input or output, no clock and no goroutine. It is not safe for
 // concurrent use.
@@ -260,7 +259,8 @@
 	previous := c.catalog
 	u.Base = previous.TargetsPosition()
 	delta := toDelta(previous, u)
-	if delta.RouteChanges == nil && delta.Routes == nil && !delta.HasAllTargets && len(delta.Changes) == 0 {
+	isNewEra := u.Position.Era > previous.TargetsPosition().Era
+	if delta.RouteChanges == nil && delta.Routes == nil && !delta.HasAllTargets && len(delta.Changes) == 0 && !isNewEra {
 		return nil // The list contains nothing new.
 	}
 	delta.Digest = digestOfPart(c.afterUpdate(delta), delta)
--- a/reader/restore_test.go
+++ b/reader/restore_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"wisteriaweir/catalog"
+	"wisteriaweir/evacuation"
 	"wisteriaweir/reader"
 	"wisteriaweir/route"
 )
@@ -119,3 +120,20 @@
 	qt.Assert(t, c.HandleMessage(0, other, reader.Heartbeat{Positions: reader.Positions{Routes: at(510), Targets: at(511)}}), qt.HasLen, 0)
 	qt.Assert(t, c.HandleMessage(time.Second, other, reader.Heartbeat{Positions: reader.Positions{Routes: at(512), Targets: at(511)}}), qt.HasLen, 1)
 }
+
+// TestEraWithoutChanges guards against hosts that do not learn of a new era, and do not
+// check their own entries, because the copy of the store contains what they already hold.
+func TestEraWithoutChanges(t *testing.T) {
+	inEra := func(era, revision uint64) catalog.Position { return catalog.Position{Era: era, Revision: revision} }
+	table, targets, evacuated := route.NewTable(5, time.Second, someRoutes(2)), someTargets(2), evacuation.NewSet("west-a")
+	c := reader.New(reader.Config{Self: self, UsesEvacuations: true})
+	for _, p := range []catalog.Position{inEra(1, 50), inEra(2, 40)} {
+		c.HandleStoreUpdate(0, reader.Update{Position: p, Routes: &table})
+		c.HandleStoreUpdate(0, reader.Update{Position: p, HasAllTargets: true, Targets: targets})
+		c.HandleStoreUpdate(0, reader.Update{Position: p, Evacuations: &evacuated})
+		qt.Assert(t, c.Catalog().RoutesPosition(), qt.Equals, p)
+		qt.Assert(t, c.Catalog().TargetsPosition(), qt.Equals, p)
+		qt.Assert(t, c.Catalog().EvacuationsPosition(), qt.Equals, p)
+	}
+	qt.Assert(t, c.HandleStoreUpdate(0, reader.Update{Position: inEra(2, 45), HasAllTargets: true, Targets: targets}), qt.HasLen, 0)
+}
