Read the store when an update of another host does not arrive

What callers saw: with lost packets between hosts, a change of the configuration could be in force later than 3 s. Cause: a change is sent once, and a host that has lost it hears of it with the next heartbeat, then sends a request and waits for the answer; each of the three can be lost. Change: a host that knows of newer content for 1 s, more in groups above 40 hosts, becomes a reader until it is surplus. Why it works: the store is asked over TCP, whose loss costs milliseconds; the bound no longer depends on three datagrams.

--- a/reader/duty.go
+++ b/reader/duty.go
@@ -24,6 +24,10 @@
 	// for each higher-ranked host that does not read, if there are enough of them to
 	// replace the missing readers. The highest-ranked hosts thus become readers first.
 	takeoverDelayPerRank = 100 * time.Millisecond
+	// maxBehind is how long a host in a group of up to maxHostsAtMinInterval hosts may lack an
+	// update that another host has, before it reads the store itself. In larger groups, it is
+	// longer in proportion to the size, as readers need longer to send an update to all.
+	maxBehind = time.Second
 	// resignDelay is how long there must have been enough higher-ranked readers before
 	// this host stops reading.
 	resignDelay = 3 * time.Second
@@ -75,6 +79,10 @@
 		c.resignIfSurplus(now, higherRanked)
 		return
 	}
+	if c.isBehindTooLong(now) {
+		c.startReading(now)
+		return
+	}
 	if otherReaders >= wantedReaders {
 		c.tooFewReadersSince = 0
 		return
@@ -92,11 +100,46 @@
 		delay = 0
 	}
 	if now-c.tooFewReadersSince >= delay {
-		c.reading = true
-		c.tooFewReadersSince, c.surplusReadersSince = 0, 0
-		c.lastHeartbeatSentAt = now
-		c.broadcast(c.ownHeartbeat(now))
+		c.startReading(now)
+	}
+}
+
+// startReading makes this host a reader and reports it to the group.
+func (c *Core) startReading(now time.Duration) {
+	c.reading = true
+	c.tooFewReadersSince, c.surplusReadersSince, c.behindSince = 0, 0, 0
+	c.lastHeartbeatSentAt = now
+	c.broadcast(c.ownHeartbeat(now))
+}
+
+// isBehindTooLong reports whether another host has had newer content than the catalog for
+// too long, although this host requests it: messages are lost.
+func (c *Core) isBehindTooLong(now time.Duration) bool {
+	if !c.isBehind(now) {
+		c.behindSince = 0
+		return false
+	}
+	if c.behindSince == 0 {
+		c.behindSince = now
+	}
+	limit := maxBehind * time.Duration(max(maxHostsAtMinInterval, len(c.group))) / maxHostsAtMinInterval
+	return now-c.behindSince >= limit
+}
+
+// isBehind reports whether a recent heartbeat of another host has newer content than the
+// catalog.
+func (c *Core) isBehind(now time.Duration) bool {
+	own := c.ownPositions()
+	for _, m := range c.group {
+		p := c.peers[m.Name]
+		if p == nil || !p.hasHeartbeat || now-p.lastHeartbeatAt >= maxMissedHeartbeats*c.heartbeatInterval() {
+			continue
+		}
+		if isNewer(p.heartbeat.Positions, own) {
+			return true
+		}
 	}
+	return false
 }
 
 // resignIfSurplus stops reading if there have been enough higher-ranked readers for
--- a/reader/fleet_test.go
+++ b/reader/fleet_test.go
@@ -108,13 +108,15 @@
 // TestMessagesLost loses 30 % of all messages. It guards against changes that do not
 // reach all hosts in time.
 func TestMessagesLost(t *testing.T) {
-	f := newFleet(t, 4, 2)
-	f.loss = 0.3
-	f.run(5 * time.Second)
-	for range 10 {
-		f.changeStore()
-		f.run(maxPropagation)
-		f.checkUpToDate(nil)
+	for seed := range uint64(40) {
+		f := newSeededFleet(t, seed, 4, 2)
+		f.loss = 0.3
+		f.run(5 * time.Second)
+		for range 10 {
+			f.changeStore()
+			f.run(maxPropagation)
+			f.checkUpToDate(nil)
+		}
 	}
 }
 
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -162,6 +162,9 @@
 	// tooFewReadersSince is when the group began to have fewer readers than it needs.
 	// 0 means that it has enough.
 	tooFewReadersSince time.Duration
+	// behindSince is when another host was first known to have newer content than the
+	// catalog. 0 means that none has.
+	behindSince time.Duration
 	// surplusReadersSince is when the group began to have enough higher-ranked readers
 	// without this host, while this host reads. 0 means that it does not have enough or
 	// that this host does not read.
--- a/reader/sim_test.go
+++ b/reader/sim_test.go
@@ -130,7 +130,12 @@
 
 // newFleet returns a fleet of hosts that know each other.
 func newFleet(t *testing.T, domains, hostsPerDomain int) *fleet {
-	f := &fleet{t: t, rnd: rand.New(rand.NewPCG(7, 7)), era: 1, revision: 10, isPartitioned: func(string, string) bool { return false }}
+	return newSeededFleet(t, 7, domains, hostsPerDomain)
+}
+
+// newSeededFleet is like newFleet, with another seed of the choice of lost messages.
+func newSeededFleet(t *testing.T, seed uint64, domains, hostsPerDomain int) *fleet {
+	f := &fleet{t: t, rnd: rand.New(rand.NewPCG(seed, 7)), era: 1, revision: 10, isPartitioned: func(string, string) bool { return false }}
 	for d := range domains {
 		for i := range hostsPerDomain {
 			m := reader.Member{
