Take over reading without waiting for hosts that the store refuses

Cause: a host waited 0.1 s for each higher-ranked host that was no reader with the store, also for those known to have tried in vain and for those that had gone. Evidence: TestStoreRefusesMostHosts, 12 hosts of which some have left, failed before ('routes 10 of 11' 3 s after the change). Change: a host that reports itself a reader without a response of the store for 0.25 s, or a reader that has fallen silent, is not waited for. A reader reports its first response at once, so that others need not step in. Why it works: the wait depends on the hosts that may still succeed, not on all.

--- a/reader/duty.go
+++ b/reader/duty.go
@@ -28,6 +28,9 @@
 	// update that another host has, before it reads the store itself. In larger groups, it is
 	// longer in proportion to the size, as readers need longer to send an update to all.
 	maxBehind = time.Second
+	// takeoverTimeout is the time within which a host that has become a reader is expected to
+	// report a response of the store. After it, lower-ranked hosts no longer wait for it.
+	takeoverTimeout = 250 * time.Millisecond
 	// resignDelay is how long there must have been enough higher-ranked readers before
 	// this host stops reading.
 	resignDelay = 3 * time.Second
@@ -162,7 +165,7 @@
 
 // countReaders returns the number of fresh readers that are ranked higher than this
 // host, of all fresh readers but this host, and of higher-ranked hosts that are not
-// fresh readers.
+// fresh readers but may become so.
 func (c *Core) countReaders(now time.Duration) (higherRanked, otherReaders, nonReading int) {
 	isHigherRanked := true
 	for _, m := range c.group {
@@ -170,20 +173,31 @@
 			isHigherRanked = false
 			continue
 		}
-		isReader := c.isFreshReader(now, c.peers[m.Name])
+		p := c.peers[m.Name]
+		isReader := c.isFreshReader(now, p)
 		switch {
 		case isReader && isHigherRanked:
 			higherRanked++
 			otherReaders++
 		case isReader:
 			otherReaders++
-		case isHigherRanked:
+		case isHigherRanked && !c.cannotTakeOver(now, p):
 			nonReading++
 		}
 	}
 	return higherRanked, otherReaders, nonReading
 }
 
+// cannotTakeOver reports whether it is known that a peer which is no fresh reader will not
+// become one soon: it has been reading for takeoverTimeout without a response of the store,
+// or its messages have stopped.
+func (c *Core) cannotTakeOver(now time.Duration, p *peer) bool {
+	if p.readingSince != 0 && now-p.readingSince >= takeoverTimeout {
+		return true
+	}
+	return p.hasHeartbeat && p.heartbeat.IsReading && now-p.lastHeartbeatAt >= maxMissedHeartbeats*c.heartbeatInterval()
+}
+
 // LastConfirmed returns when the store last responded to this host or to a reader
 // whose heartbeat this host has received, and whether it ever did.
 func (c *Core) LastConfirmed() (time.Duration, bool) {
--- a/reader/evacuation.go
+++ b/reader/evacuation.go
@@ -24,7 +24,7 @@
 		set = *u.Evacuations
 		known := c.catalog.EvacuationsPosition()
 		if known.IsKnown() && known.Era >= u.Position.Era && set.Equal(c.catalog.Evacuations()) {
-			return nil // The list contains nothing new.
+			return c.drainEffects() // The list contains nothing new.
 		}
 	}
 	if c.applyEvacuations(now, EvacuationUpdate{Position: u.Position, Set: set}) && c.reading {
--- a/reader/fleet_test.go
+++ b/reader/fleet_test.go
@@ -182,3 +182,23 @@
 		qt.Assert(t, h.core.Members(), qt.Contains, unlisted.Member)
 	}
 }
+
+// TestStoreRefusesMostHosts guards against a change that reaches the hosts late because
+// the store refuses all readers and, one after the other, most hosts that take over. Some
+// hosts have left and are still listed.
+func TestStoreRefusesMostHosts(t *testing.T) {
+	const hostsPerDomain = 4
+	for accepted := range 3 * hostsPerDomain {
+		for phase := range 8 {
+			f := newFleet(t, 3, hostsPerDomain)
+			f.run(5*time.Second + time.Duration(phase)*200*time.Millisecond)
+			for i, h := range f.hosts {
+				h.storeUnreachable = i != accepted
+				h.stopped = i%hostsPerDomain == 0 && i != accepted && !h.core.IsReading()
+			}
+			f.changeStore()
+			f.run(maxPropagation)
+			f.checkUpToDate(nil)
+		}
+	}
+}
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -124,11 +124,24 @@
 	// when the host became known.
 	lastHeartbeatAt time.Duration
 	hasHeartbeat    bool
+	// readingSince is when the host began to report that it is a reader, 0 if it does not.
+	readingSince time.Duration
 	// lastMessageAt is when the last message of any kind was received or, before the
 	// first one, when the host was first listed at its address.
 	lastMessageAt time.Duration
 }
 
+// recordHeartbeat records a heartbeat from the host.
+func (p *peer) recordHeartbeat(now time.Duration, h Heartbeat) {
+	p.heartbeat, p.lastHeartbeatAt, p.hasHeartbeat = h, now, true
+	switch {
+	case !h.IsReading:
+		p.readingSince = 0
+	case p.readingSince == 0:
+		p.readingSince = now
+	}
+}
+
 // Core holds the state of one host and makes its decisions.
 type Core struct {
 	cfg   Config
@@ -234,7 +247,7 @@
 	case Hello:
 		c.send(from, c.ownHeartbeat(now))
 	case Heartbeat:
-		p.heartbeat, p.lastHeartbeatAt, p.hasHeartbeat = m, now, true
+		p.recordHeartbeat(now, m)
 		c.requestIfBehind(now, p)
 	case UpdateRequest:
 		c.sendMissing(from, m)
@@ -252,19 +265,19 @@
 // group if this host is a reader. An update without content means that the store
 // has nothing new.
 func (c *Core) HandleStoreUpdate(now time.Duration, u Update) []Effect {
-	c.storeRespondedAt, c.hasStoreResponse = now, true
+	c.recordStoreResponse(now)
 	if u.Evacuations != nil || len(u.EvacuationChanges) > 0 {
 		return c.handleStoreEvacuations(now, u)
 	}
 	if u.Routes == nil && !u.HasAllTargets && len(u.Changes) == 0 {
-		return nil
+		return c.drainEffects()
 	}
 	previous := c.catalog
 	u.Base = previous.TargetsPosition()
 	delta := toDelta(previous, u)
 	isNewEra := u.Position.Era > previous.TargetsPosition().Era
 	if delta.RouteChanges == nil && delta.Routes == nil && !delta.HasAllTargets && len(delta.Changes) == 0 && !isNewEra {
-		return nil // The list contains nothing new.
+		return c.drainEffects() // The list contains nothing new.
 	}
 	delta.Digest = digestOfPart(c.afterUpdate(delta), delta)
 	switch advanced := c.apply(delta); {
@@ -276,6 +289,18 @@
 	return c.drainEffects()
 }
 
+// recordStoreResponse records that the store has responded to this host. If the host is a
+// reader that the group did not count as a fresh one, it reports so at once, as other hosts
+// wait for it before they take over.
+func (c *Core) recordStoreResponse(now time.Duration) {
+	wasFresh := c.hasStoreResponse && now-c.storeRespondedAt < c.maxReaderStoreAge()
+	c.storeRespondedAt, c.hasStoreResponse = now, true
+	if c.reading && !wasFresh {
+		c.lastHeartbeatSentAt = now
+		c.broadcast(c.ownHeartbeat(now))
+	}
+}
+
 // reportIgnored adds an Ignored effect if a response of the store that was not applied has
 // other content than the catalog.
 func (c *Core) reportIgnored(u Update) {
