Let hosts that catch up leave sending to the readers

What callers saw: nothing yet; found by reading the change for lost messages. In a large fleet a big table takes a reader more than the limit to send; all hosts that wait for it would read it themselves and send it to all others: 40 times 77 copies of 18 KB, reckoned. Cause: each reader sends what it has read. Change: a host that reads only because it lacked an update does not send content that a heartbeat has shown already. Run: TestCatchingUpHostSendsNothingKnown failed before, go test of reader green.

--- a/reader/duty.go
+++ b/reader/duty.go
@@ -84,6 +84,7 @@
 	}
 	if c.isBehindTooLong(now) {
 		c.startReading(now)
+		c.catchingUp = true
 		return
 	}
 	if otherReaders >= wantedReaders {
@@ -145,6 +146,27 @@
 	return false
 }
 
+// mustSend reports whether this host has to send a change of the store to the group. A host
+// that reads to catch up leaves that to the host that has reported the content already:
+// in a large fleet, many may be catching up at once.
+func (c *Core) mustSend(u Update) bool {
+	return c.reading && !(c.catchingUp && c.isReported(u))
+}
+
+// isReported reports whether a heartbeat of another host has shown the content of u.
+func (c *Core) isReported(u Update) bool {
+	for _, p := range c.peers {
+		reported := p.heartbeat.Targets
+		if u.Routes != nil || u.RouteChanges != nil {
+			reported = p.heartbeat.Routes
+		}
+		if p.hasHeartbeat && !u.Position.After(reported) {
+			return true
+		}
+	}
+	return false
+}
+
 // resignIfSurplus stops reading if there have been enough higher-ranked readers for
 // resignDelay.
 func (c *Core) resignIfSurplus(now time.Duration, higherRanked int) {
@@ -158,7 +180,7 @@
 	if now-c.surplusReadersSince < resignDelay {
 		return
 	}
-	c.reading = false
+	c.reading, c.catchingUp = false, false
 	c.surplusReadersSince = 0
 	c.broadcast(c.ownHeartbeat(now))
 }
--- a/reader/fleet_test.go
+++ b/reader/fleet_test.go
@@ -202,3 +202,37 @@
 		}
 	}
 }
+
+// TestCatchingUpHostSendsNothingKnown guards against hosts that read because an update is on
+// its way to them for long, as in a large fleet, and that then all send it to all others.
+func TestCatchingUpHostSendsNothingKnown(t *testing.T) {
+	table, next := route.NewTable(5, time.Second, someRoutes(2)), route.NewTable(6, time.Second, someRoutes(3))
+	two := reader.Member{Name: "two", Domain: "west-a", Address: netip.MustParseAddrPort("10.1.0.11:7720")}
+	three := reader.Member{Name: "three", Domain: "west-a", Address: netip.MustParseAddrPort("10.1.0.12:7720")}
+	c := reader.New(reader.Config{Self: self})
+	c.SetMembers(0, []reader.Member{self, two, three})
+	c.HandleMessage(0, two, reader.Update{Position: at(10), Routes: &table})
+	now := time.Duration(0)
+	for ; !c.IsReading(); now += tickInterval {
+		qt.Assert(t, now < maxPropagation, qt.IsTrue)
+		for _, m := range []reader.Member{two, three} {
+			c.HandleMessage(now, m, reader.Heartbeat{Positions: reader.Positions{RoutesNumber: 6, Routes: at(20)}, IsReading: true})
+		}
+		c.Tick(now)
+	}
+	sent := func(effects []reader.Effect) int {
+		updates := 0
+		for _, e := range effects {
+			if s, ok := e.(reader.Send); ok {
+				if _, ok := s.Message.(reader.Update); ok {
+					updates++
+				}
+			}
+		}
+		return updates
+	}
+	qt.Assert(t, sent(c.HandleStoreUpdate(now, reader.Update{Position: at(20), Routes: &next})), qt.Equals, 0)
+	qt.Assert(t, c.Catalog().Routes().Number(), qt.Equals, uint64(6))
+	later := route.NewTable(7, time.Second, someRoutes(4))
+	qt.Assert(t, sent(c.HandleStoreUpdate(now, reader.Update{Position: at(21), Routes: &later})), qt.Equals, 2)
+}
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -168,6 +168,8 @@
 
 	// reading reports whether this host reads the store.
 	reading bool
+	// catchingUp reports whether this host reads only because it lacked an update.
+	catchingUp bool
 	// storeRespondedAt is when the store last responded to this host, valid if
 	// hasStoreResponse is set.
 	storeRespondedAt time.Duration
@@ -283,7 +285,7 @@
 	switch advanced := c.apply(delta); {
 	case !advanced:
 		c.reportIgnored(u)
-	case c.reading:
+	case c.mustSend(delta):
 		c.broadcast(delta)
 	}
 	return c.drainEffects()
