Give only hosts that started in the gap of a restore more time in the soak's check of evacuations

Change: the time applies only if a host has started between the restore and the operator's new request. Conclusion: the check is as strict as before for all others.

--- a/soak/evacuation.go
+++ b/soak/evacuation.go
@@ -62,8 +62,8 @@
 // checkEvacuated checks that the targets of an evacuated failure domain have received no
 // new flows later than evacuationBound after the request was acknowledged, plus the time
 // for which the store was down for all hosts since. A host that was paused may use its old
-// catalog for resumeTime. A host that starts before the operator has requested again what a
-// restore has lost cannot know it: it has resumeTime from then on. Other faults do not
+// catalog for resumeTime, and so may a host that started while the store had lost the
+// request, from the time when the operator has requested it again. Other faults do not
 // extend the time.
 func (r *run) checkEvacuated(domain string, acknowledgedAt time.Time, downTime time.Duration) {
 	if r.ctx.Err() != nil || r.store.Faults().Outage {
@@ -71,7 +71,7 @@
 	}
 	until := acknowledgedAt.Add(evacuationBound + downTime)
 	r.mu.Lock()
-	until = later(until, r.rewrittenAt.Add(resumeTime))
+	until = later(until, r.uninformedUntil)
 	r.mu.Unlock()
 	for _, h := range r.hosts {
 		h.mu.Lock()
--- a/soak/restore.go
+++ b/soak/restore.go
@@ -54,10 +54,12 @@
 	r.store.SetFaults(fake.PlatformFaults{Outage: true})
 	r.sleep(s.Duration / 2)
 	r.store.Restore(backup)
+	restoredAt := time.Now()
 	r.store.SetFaults(fake.PlatformFaults{})
 	r.recordStoreDown(time.Since(start))
 	r.sleep(rewriteDelay)
 	r.rewrite()
+	r.recordUninformedHosts(restoredAt)
 	r.recordStoreFaultEnd()
 }
 
@@ -93,9 +95,22 @@
 		})
 		r.evacuationWrites.Unlock()
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.rewrittenAt = time.Now()
+}
+
+// recordUninformedHosts sets uninformedUntil if a host has started since a restore, after
+// which the operator has just written again what was lost.
+func (r *run) recordUninformedHosts(restoredAt time.Time) {
+	for _, h := range r.hosts {
+		h.mu.Lock()
+		hasStarted := h.startedAt.After(restoredAt)
+		h.mu.Unlock()
+		if !hasStarted {
+			continue
+		}
+		r.mu.Lock()
+		r.uninformedUntil = time.Now().Add(resumeTime)
+		r.mu.Unlock()
+	}
 }
 
 // retryWrite repeats a write until it succeeds or the run ends.
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -93,8 +93,9 @@
 	evacuationWrites sync.Mutex
 	// backups are the copies of the store that a restore may bring back, oldest first.
 	backups []fake.Backup
-	// rewrittenAt is when the operator had written again what the last restore had lost.
-	rewrittenAt time.Time
+	// uninformedUntil is until when a host may not know an evacuation that a restore has lost,
+	// because the host started before the operator requested it again.
+	uninformedUntil time.Time
 	// storeFaultEndedAt is the end of the last StoreDown, StoreRestore or StoreCompaction,
 	// which affect the store for all hosts.
 	storeFaultEndedAt time.Time
