--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -11,8 +11,8 @@
 //
 // A Catalog is immutable, and the With methods never go back to an older position: an
 // update that is no newer than the catalog has no effect, wherever it comes from. Routing
-// tables are ordered by the version number that the operator gave them, as the store may
-// come back from a copy with an older table.
+// tables of different eras are ordered by the version number that the operator gave them,
+// as the store may come back from a copy with an older table.
 package catalog
 
 import (
@@ -79,12 +79,14 @@
 	return c.routes
 }
 
-// RoutesPosition returns the position of the routing table. It is the zero value before it is known.
+// RoutesPosition returns the position of the routing table, the zero value before it is
+// known.
 func (c Catalog) RoutesPosition() Position {
 	return c.routesPosition
 }
 
-// TargetsPosition returns the position of the targets. It is the zero value before they are known.
+// TargetsPosition returns the position of the targets, the zero value before they are
+// known.
 func (c Catalog) TargetsPosition() Position {
 	return c.targetsPosition
 }
@@ -105,7 +107,8 @@
 	return c.evacuations
 }
 
-// EvacuationsPosition returns the position of the evacuations. It is the zero value before they are known.
+// EvacuationsPosition returns the position of the evacuations, the zero value before they
+// are known.
 func (c Catalog) EvacuationsPosition() Position {
 	return c.evacuationsPosition
 }
