Count a stall only if this host has seen all that the caller sent since

On a link of 2 Mbit/s that an upload fills, the copy of a request arrives before the acknowledgement of the response. After a change of rotation, requests come back whose copies went through another host.

--- a/host/forward.go
+++ b/host/forward.go
@@ -133,6 +133,7 @@
 		SharedAdmission: cfg.SharedAdmission,
 		Warmup:          placement.WarmupConfig{Overshoot: cfg.Settings.WarmupOvershoot, Slack: cfg.Settings.WarmupSlack},
 		Seed:            cfg.Seed,
+		LinkMbps:        cfg.Settings.LinkMbps,
 		MaxFlows:        int(cfg.Settings.MaxMemoryBytes / flowMemoryDivisor / bytesPerFlow),
 		Observe:         f.logTarget,
 		ObserveFlow:     f.observeFlow,
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -10,6 +10,9 @@
 	// minRetransmitInterval is the shortest time after which a caller retransmits data
 	// that was not acknowledged. Data that is seen again sooner is a reordered packet.
 	minRetransmitInterval = 150 * time.Millisecond
+	// maxFirstRetransmit is the longest time after which a caller retransmits data for the
+	// first time.
+	maxFirstRetransmit = 400 * time.Millisecond
 	// stallFactor is the multiple of a target's typical latency after which a
 	// retransmission counts as a stall: callers also retransmit requests that wait in
 	// the queue of a busy target.
@@ -116,11 +119,11 @@
 
 // recordStall records that the data last sent on f got no response, and decides
 // whether the target is dead. It does nothing if the data was sent less than the
-// stall threshold ago, if the target has responded to any flow since, or if this
-// host may have unread packets from that time.
+// stall threshold ago, if the target has responded to any flow since, or if the
+// response may have been acknowledged without this host's knowledge; see mayMissResponse.
 func (c *Core) recordStall(now time.Duration, f *flow) {
 	t := f.target
-	if now-f.lastSentAt < t.stallThreshold(now) || t.lastProgressAt > f.lastSentAt || c.socketDrainedAt < f.lastSentAt+socketDelayGrace {
+	if now-f.lastSentAt < t.stallThreshold(now) || t.lastProgressAt > f.lastSentAt || c.mayMissResponse(f) {
 		return
 	}
 	if f.stalledGeneration != t.stallGeneration+1 {
@@ -139,6 +142,20 @@
 	}
 }
 
+// mayMissResponse reports whether the response to the data last sent on f may have been
+// acknowledged without this host's knowledge: the acknowledgement may be unread, may wait
+// for the link, or may have gone through another host.
+func (c *Core) mayMissResponse(f *flow) bool {
+	return c.socketDrainedAt < f.lastSentAt+socketDelayGrace || c.link.wasFullSince(f.lastSentAt) || f.hadGap
+}
+
+// isGap reports whether a copy of the data last sent on f was most likely sent through
+// another host, if no packet of f arrives between the last one and now: callers double the
+// interval between two copies.
+func (f *flow) isGap(now time.Duration) bool {
+	return now-f.lastPacketAt > maxFirstRetransmit+2*(f.lastPacketAt-f.lastSentAt)
+}
+
 // isKnownDead reports whether the target is considered dead by evidence that has not
 // expired.
 func (h *healthState) isKnownDead(now time.Duration) bool {
@@ -186,7 +203,7 @@
 		switch {
 		case !f.answered:
 			c.hedgeOpening(now, f)
-		case (f.awaitingResponse || f.queued != nil) && f.kind.IsIdempotent():
+		case (f.awaitingResponse || f.queued != nil) && f.kind.IsIdempotent() && !f.isGap(now):
 			c.resetFlow(f)
 		}
 	}
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -70,6 +70,9 @@
 	lastSentAt time.Duration
 	// lastPacketAt is the time of the last packet from the caller.
 	lastPacketAt time.Duration
+	// hadGap reports whether packets of the caller most likely went through another host
+	// between the last two that this host received; see isGap.
+	hadGap bool
 	// openedAt is when this host placed the flow or took it over.
 	openedAt time.Duration
 	// closed reports whether the caller has ended the flow.
@@ -180,6 +183,7 @@
 // track updates the state of an open flow, and the health of its target, from one
 // packet of the caller.
 func (c *Core) track(now time.Duration, f *flow, p packet.Packet) {
+	f.hadGap = f.isGap(now)
 	f.lastPacketAt = now
 	hasProgressed := false
 	if !f.answered {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -121,6 +121,8 @@
 	// SharedAdmission selects the services that have an admission level, which the hosts of
 	// the failure domain share; see package admission.
 	SharedAdmission SharedAdmission
+	// LinkMbps is the speed of the host's link in Mbit/s, 0 if it is not known.
+	LinkMbps float64
 	// Observe is the callback for each change of a target's state. It may be nil and
 	// must not block.
 	Observe func(TargetNotice)
@@ -223,6 +225,8 @@
 	recentProgress eventWindow
 	// recentStalls counts the recent stalls on targets that were not dead.
 	recentStalls eventWindow
+	// link is the link of this host.
+	link link
 	// isolated reports whether the host is isolated; see SetIsolated.
 	isolated bool
 	// cutOff is the result of isCutOff for the latest choice of a target.
@@ -246,6 +250,7 @@
 		pools:          map[string][]*Target{},
 		flows:          map[packet.FlowKey]*flow{},
 		hosts:          warmup.New(cfg.Host),
+		link:           newLink(cfg.LinkMbps),
 
 		subsets:        map[string]subsetInput{},
 		flowCounts:     map[string]*flowCount{},
@@ -267,6 +272,7 @@
 // Handle decides on one packet. datagram is the packet as received; the core only
 // reads it, and copies it where it has to store it.
 func (c *Core) Handle(now time.Duration, p packet.Packet, datagram []byte) Decision {
+	c.link.receive(now, len(datagram))
 	if !c.catalog.IsComplete() {
 		return Drop{Reason: CatalogIncomplete}
 	}
--- a/placement/script_setup_test.go
+++ b/placement/script_setup_test.go
@@ -53,6 +53,14 @@
 	return nil
 }
 
+func (r *runner) setLink(mbps string) error {
+	cfg := r.config()
+	var err error
+	cfg.LinkMbps, err = strconv.ParseFloat(mbps, 64)
+	r.core = placement.New(cfg)
+	return err
+}
+
 func (r *runner) setWarmups(args []string) error {
 	r.warmups = map[string]route.Warmup{}
 	for _, a := range args {
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -22,6 +22,9 @@
 	"wisteriaweir/route"
 )
 
+// maxDataSize is the size of the data of a full packet, in bytes.
+const maxDataSize = 1200
+
 var update = flag.Bool("update", false, "rewrite the golden files in testdata")
 
 // TestScripts runs the files of testdata and compares the output with them. The lines
@@ -164,6 +167,8 @@
 //	summary N DOMAIN SERVICE=UTILIZATION    the summary of host N in another failure domain
 //	summaries       prints the summary of this host for the service desk
 //	busy TIME       time passes, with unread packets throughout
+//	link MBPS       starts a new core on a host with this link speed; must be the first command
+//	upload C N TIME    N full packets of caller C, TIME apart, with no unread packet in between
 func (r *runner) runCommand(cmd string, args []string) error {
 	switch cmd {
 	case "routes":
@@ -208,6 +213,8 @@
 		d, err := time.ParseDuration(args[0])
 		r.now += d
 		return err
+	case "link":
+		return r.setLink(args[0])
 	case "open":
 		return r.openFlow(args[0], args[1])
 	}
@@ -215,6 +222,9 @@
 	if c == nil {
 		return fmt.Errorf("unknown caller %q", args[0])
 	}
+	if cmd == "upload" {
+		return r.upload(c, args[1], args[2])
+	}
 	n := 0
 	if len(args) > 1 && args[1] != "" {
 		var err error
@@ -302,6 +312,27 @@
 	}
 }
 
+// upload sends n packets of full size of a caller at the given interval, and prints only
+// the changes of targets.
+func (r *runner) upload(c *caller, n, interval string) error {
+	count, err := strconv.Atoi(n)
+	if err != nil {
+		return err
+	}
+	d, err := time.ParseDuration(interval)
+	if err != nil {
+		return err
+	}
+	for range count {
+		p := packet.Packet{Flow: c.flow, Flags: packet.Ack, Stamp: c.stamp, Seq: c.seq, AckSeq: c.ackSeq, Size: maxDataSize}
+		c.seq += maxDataSize
+		r.core.Handle(r.now, p, make([]byte, maxDataSize))
+		r.now += d
+		r.core.Tick(r.now)
+	}
+	return nil
+}
+
 // advance lets time pass in steps of 10 ms and calls Tick after each.
 func (r *runner) advance(duration string) error {
 	d, err := time.ParseDuration(duration)
