Send overdue requests to busy targets only while no flows are rejected

Change: no place for overdue requests of a service of which this host has rejected a flow within the last second. Capacity to spare goes to them as before.

--- a/placement/admission.go
+++ b/placement/admission.go
@@ -10,6 +10,9 @@
 	// priorities to the same service are rejected as well. It is longer than the interval
 	// between two rejections in a burst.
 	shedDuration = 100 * time.Millisecond
+	// overloadMemory is the time after a rejection for which its service counts as overloaded.
+	// It is longer than the pauses between rejections in a burst.
+	overloadMemory = time.Second
 )
 
 // shedding is the rejection of a new flow because its service is overloaded.
@@ -42,6 +45,13 @@
 	return wait, false
 }
 
+// isOverloaded reports whether this host has rejected a flow of a service for overload within
+// the last overloadMemory.
+func (c *Core) isOverloaded(now time.Duration, service string) bool {
+	last, ok := c.lastShed[service]
+	return ok && now < last.until-shedDuration+overloadMemory
+}
+
 // expectedWait estimates how long a request of the given priority would be queued on
 // this host: the requests ahead of it, divided by the rate at which the window lets them
 // pass; see window.limit.
--- a/placement/dispatch.go
+++ b/placement/dispatch.go
@@ -126,7 +126,7 @@
 // dispatch sends queued requests as long as the target has room.
 func (c *Core) dispatch(now time.Duration, t *Target) {
 	for t.hasRoom(now) && !c.mustHoldQueue(now, t) {
-		q := t.queue.popNext(now, t.currentLatency(now), t.load() < t.slots()*oldQueueThreshold && !c.isCongested(now, t))
+		q := t.queue.popNext(now, t.currentLatency(now), t.load() < t.slots()*oldQueueThreshold && !c.isCongested(now, t), c.isOverloaded(now, t.Service))
 		if q == nil {
 			return
 		}
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -8,7 +8,8 @@
 
 const (
 	// overdueShare is the number of overdue requests that may be sent to a busy target
-	// per request sent to it, so that they do not starve.
+	// per request sent to it, so that they do not starve below an overload. While new flows
+	// are rejected, none are sent: each would displace one that can be answered in time.
 	overdueShare = 0.05
 	// spareFraction is the fraction of the slow threshold up to which the typical latency
 	// of a target shows that it has capacity to spare.
@@ -130,12 +131,13 @@
 
 // popNext removes the request that is sent next and returns it, nil if there is none.
 // latency is the typical latency of the target, 0 if it is idle; hasFreeSlot reports
-// whether one of its slots is free.
-func (r *requestQueue) popNext(now, latency time.Duration, hasFreeSlot bool) *queuedRequest {
+// whether one of its slots is free, isOverloaded whether flows of its service have been
+// rejected recently.
+func (r *requestQueue) popNext(now, latency time.Duration, hasFreeSlot, isOverloaded bool) *queuedRequest {
 	r.compact()
 	r.demote(now)
 	switch {
-	case len(r.overdue) > 0 && r.overdueCredit >= 1:
+	case len(r.overdue) > 0 && r.overdueCredit >= 1 && !isOverloaded:
 		r.overdueCredit = 0
 		return popBest(&r.overdue, false)
 	case len(r.onTime) > 0:
