Give urgent requests places of a target beyond the window of others

Cause: order by priority showed nothing. Change: requests of a better priority than others of their service may use one more place for each slot. Admission counts it for them, and counts for others what is in progress beyond their window.

--- a/measure/overload_test.go
+++ b/measure/overload_test.go
@@ -1,6 +1,7 @@
 package measure
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -76,19 +77,28 @@
 }
 
 // minUrgentInTime is the least fraction of the requests of the best priority that is
-// answered in time with shared admission where they alone need less than 0.8 of the capacity.
+// answered in time where they alone need less than 0.8 of the capacity.
 const minUrgentInTime = 0.95
 
 // TestUrgentAreServedInTime guards against requests of worse priorities that take the
-// capacity of urgent ones, at loads of 1.2 to 1.5 times the capacity. The bursts of 2 and the
-// surge with 16 crashed targets do not reach the goal; see docs/design/admission.md.
+// capacity of urgent ones, at loads of 1.2 to 2 times the capacity with shared admission, and up
+// to 1.2 times without it. Without it, bursts of 2 do not reach the goal, nor does the surge with
+// 16 crashed targets with it; see docs/MEASURES.md.
 func TestUrgentAreServedInTime(t *testing.T) {
 	small, large := smallPatterns(), largePatterns()
-	for _, p := range []overloadPattern{small[0], small[1], small[4], large[1]} {
-		t.Run(p.name, func(t *testing.T) {
-			res := runPattern(p, strategyShared)
-			qt.Check(t, float64(res.urgentInTime) >= minUrgentInTime*float64(res.urgent), qt.IsTrue, qt.Commentf("%d of %d urgent in time", res.urgentInTime, res.urgent))
-		})
+	for _, test := range []struct {
+		strategy overloadStrategy
+		patterns []overloadPattern
+	}{
+		{strategyPlacement, small[:2]},
+		{strategyShared, []overloadPattern{small[0], small[1], small[2], small[3], small[4], large[1]}},
+	} {
+		for _, p := range test.patterns {
+			t.Run(fmt.Sprintf("%s/%s", test.strategy, p.name), func(t *testing.T) {
+				res := runPattern(p, test.strategy)
+				qt.Check(t, float64(res.urgentInTime) >= minUrgentInTime*float64(res.urgent), qt.IsTrue, qt.Commentf("%d of %d urgent in time", res.urgentInTime, res.urgent))
+			})
+		}
 	}
 }
 
--- a/placement/admission.go
+++ b/placement/admission.go
@@ -31,20 +31,26 @@
 // get none of the capacity. At low load windows have room and queues are empty, so that
 // every flow is admitted.
 func (c *Core) admit(now time.Duration, t *Target, priority int, objective time.Duration) (time.Duration, bool) {
-	wait := t.expectedWait(now, priority)
+	wait := t.expectedWait(now, priority, c.urgentReserve(now, t, priority))
 	last := c.lastShed[t.Service]
-	if now < last.until && priority > last.priority {
+	if c.isShedding(now, t.Service) && priority > last.priority {
 		return wait, false
 	}
 	if wait <= maxWait(objective) {
 		return wait, true
 	}
-	if now >= last.until || priority <= last.priority {
+	if !c.isShedding(now, t.Service) || priority <= last.priority {
 		c.lastShed[t.Service] = shedding{priority: priority, until: now + shedDuration}
 	}
 	return wait, false
 }
 
+// isShedding reports whether this host has rejected a flow of a service for overload within
+// the last shedDuration.
+func (c *Core) isShedding(now time.Duration, service string) bool {
+	return now < c.lastShed[service].until
+}
+
 // isOverloaded reports whether this host has rejected a flow of a service for overload within
 // the last overloadMemory.
 func (c *Core) isOverloaded(now time.Duration, service string) bool {
@@ -53,13 +59,14 @@
 }
 
 // expectedWait estimates how long a request of the given priority would be queued on
-// this host: the requests ahead of it, divided by the rate at which the window lets them
-// pass; see window.limit.
-func (t *Target) expectedWait(now time.Duration, priority int) time.Duration {
+// this host: the requests ahead of it, and those that have to end before there is room for
+// it, divided by the rate at which the window lets them pass; see window.limit. reserve is
+// the number of places beyond the window that the request may use; others may be using them.
+func (t *Target) expectedWait(now time.Duration, priority, reserve int) time.Duration {
 	ahead := float64(t.openingFlows + t.queue.countUpTo(priority))
 	limit := t.window.limit(now, t.slots())
-	if float64(t.busy) >= limit {
-		ahead += waitForBusyWindow
+	if excess := float64(t.busy-reserve) - limit; excess >= 0 {
+		ahead += excess + waitForBusyWindow
 	}
 	return time.Duration(ahead * float64(t.typicalLatency()) / limit)
 }
--- a/placement/dispatch.go
+++ b/placement/dispatch.go
@@ -47,7 +47,7 @@
 	if f.kind == route.Upload || t.dead {
 		return false
 	}
-	if !t.window.hasRoom(t.busy) {
+	if !t.window.hasRoom(t.busy - c.urgentReserve(now, t, c.routeOf(f).Priority)) {
 		return true
 	}
 	if c.mustHold(now, f) {
@@ -125,7 +125,8 @@
 
 // dispatch sends queued requests as long as the target has room.
 func (c *Core) dispatch(now time.Duration, t *Target) {
-	for t.hasRoom(now) && !c.mustHoldQueue(now, t) {
+	t.queue.refresh(now)
+	for c.canDispatch(now, t) && !c.mustHoldQueue(now, t) {
 		q := t.queue.popNext(now, t.currentLatency(now), t.load() < t.slots()*oldQueueThreshold && !c.isCongested(now, t), c.isOverloaded(now, t.Service))
 		if q == nil {
 			return
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -183,6 +183,8 @@
 	// queuedRequests are the requests that wait for their targets, oldest first. It may
 	// contain requests that have left the queue; see expireQueued.
 	queuedRequests []*queuedRequest
+	// worstPriorities holds the worst priority of the routes of each service.
+	worstPriorities map[string]int
 	// lastShed holds the newest rejection of a flow for overload, by service.
 	lastShed map[string]shedding
 	// hosts computes this host's parts of the limits on targets that are warming up.
@@ -260,7 +262,9 @@
 		usualLatencies: map[route.Address]speed.Usual{},
 		paths:          map[string]speed.Path{},
 		lastShed:       map[string]shedding{},
-		admissions:     map[string]*admission.Controller{},
+
+		worstPriorities: map[string]int{},
+		admissions:      map[string]*admission.Controller{},
 	}
 	if cfg.DomainSpill {
 		c.spill = spill.New(spill.Config{Domain: cfg.Domain, Seed: cfg.Seed})
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -101,8 +101,18 @@
 
 // bestPriority returns the best priority of the entries, or maxPriority if there are none.
 func (r *requestQueue) bestPriority() int {
+	return bestPriorityOf(r.onTime, r.unknownAge, r.overdue)
+}
+
+// bestOnTimePriority returns the best priority of the entries of class onTime, or
+// maxPriority if there are none.
+func (r *requestQueue) bestOnTimePriority() int {
+	return bestPriorityOf(r.onTime)
+}
+
+func bestPriorityOf(lists ...[]*queuedRequest) int {
 	best := maxPriority
-	for _, list := range [][]*queuedRequest{r.onTime, r.unknownAge, r.overdue} {
+	for _, list := range lists {
 		for _, q := range list {
 			if q.f.queued == q {
 				best = min(best, q.priority)
@@ -112,6 +122,13 @@
 	return best
 }
 
+// refresh removes requests that are no longer queued, and moves those that can no longer be
+// answered in time to the class overdue.
+func (r *requestQueue) refresh(now time.Duration) {
+	r.compact()
+	r.demote(now)
+}
+
 // earnCredit adds to overdueCredit for one request sent to the target.
 func (r *requestQueue) earnCredit() {
 	r.overdueCredit = min(r.overdueCredit+overdueShare, 1)
@@ -132,10 +149,9 @@
 // popNext removes the request that is sent next and returns it, nil if there is none.
 // latency is the typical latency of the target, 0 if it is idle; hasFreeSlot reports
 // whether one of its slots is free, isOverloaded whether flows of its service have been
-// rejected recently.
+// rejected recently. refresh must
+// have been called with the same now.
 func (r *requestQueue) popNext(now, latency time.Duration, hasFreeSlot, isOverloaded bool) *queuedRequest {
-	r.compact()
-	r.demote(now)
 	switch {
 	case len(r.overdue) > 0 && r.overdueCredit >= 1 && !isOverloaded:
 		r.overdueCredit = 0
--- a/placement/shared.go
+++ b/placement/shared.go
@@ -59,7 +59,7 @@
 	if ctrl == nil {
 		return true
 	}
-	ctrl.Record(now, admission.Wait{Expected: t.expectedWait(now, priority), Limit: maxWait(objective)})
+	ctrl.Record(now, admission.Wait{Expected: t.expectedWait(now, priority, c.urgentReserve(now, t, priority)), Limit: maxWait(objective)})
 	return ctrl.Admit(now, priority, drawOf(key))
 }
 
--- a/placement/target.go
+++ b/placement/target.go
@@ -128,6 +128,7 @@
 	}
 	c.updateEvacuated(now, cat)
 	c.assignSubsets(now)
+	c.updatePriorities(cat)
 	c.updateAdmission()
 }
 
