--- a/cmd_host.go
+++ b/cmd_host.go
@@ -42,10 +42,6 @@
 				Name: "target-speed", Usage: "estimate the speeds of targets from the response times of the host's own flows, and send more to faster ones",
 				Sources: cli.EnvVars("WISTERIAWEIR_TARGET_SPEED"),
 			},
-			&cli.BoolFlag{
-				Name: "domain-spill", Usage: "place new flows in other failure domains if the expected wait is shorter there",
-				Sources: cli.EnvVars("WISTERIAWEIR_DOMAIN_SPILL"),
-			},
 			&cli.StringFlag{
 				Name: "log-level", Usage: "debug, info, warn or error", Value: "info",
 				Sources: cli.EnvVars("WISTERIAWEIR_LOG_LEVEL"),
@@ -114,7 +110,6 @@
 		Seed:            rand.Uint64(),
 		HostsPerTarget:  cmd.Int("hosts-per-target"),
 		TargetSpeed:     cmd.Bool("target-speed"),
-		DomainSpill:     cmd.Bool("domain-spill"),
 		DroppedLogLines: logOutput.DroppedLines,
 		SharedAdmission: admission,
 	}
--- a/cmd_measure.go
+++ b/cmd_measure.go
@@ -27,7 +27,6 @@
 		{name: "configs", run: measure.Configs},
 		{name: "overload", run: measure.Overload},
 		{name: "speed", run: measure.Speed},
-		{name: "spill", run: measure.Spill},
 	}
 }
 
@@ -36,7 +35,7 @@
 	return &cli.Command{
 		Name:      "measure",
 		Usage:     "simulate balancer decisions in virtual time and print the tables of the design notes",
-		ArgsUsage: "[flows|targets|requests|configs|overload|speed|spill]...",
+		ArgsUsage: "[flows|targets|requests|configs|overload|speed]...",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "format", Value: string(measure.FormatText), Usage: "text, csv or json"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "random seed of the simulations"},
@@ -86,7 +85,7 @@
 			}
 		}
 		if !found {
-			return nil, newCommandError(fmt.Sprintf("measure: no group %q: use flows, targets, requests, configs, overload, speed or spill", name))
+			return nil, newCommandError(fmt.Sprintf("measure: no group %q: use flows, targets, requests, configs, overload or speed", name))
 		}
 	}
 	return selected, nil
--- a/host/control.go
+++ b/host/control.go
@@ -63,8 +63,6 @@
 	lastHealthReport placement.LoadReport
 	// healthReportSentAt is when lastHealthReport was sent.
 	healthReportSentAt time.Duration
-	// nextSummaryAt is when the next summary may be sent; see sendSummary.
-	nextSummaryAt time.Duration
 	// sendQueue holds the datagrams of updates that need more than one. They are sent
 	// at a limited rate, so that most of the link remains for the packets.
 	sendQueue []queuedDatagram
@@ -127,8 +125,6 @@
 			c.handleMessage(m)
 		case l := <-c.h.outgoingLoads:
 			c.sendLoad(l)
-		case l := <-c.h.outgoingSummaries:
-			c.sendSummary(l)
 		case u := <-c.h.storeUpdates:
 			c.applyEffects(c.core.HandleStoreUpdate(c.h.now(), u))
 		case list := <-members:
--- a/host/count.go
+++ b/host/count.go
@@ -23,8 +23,6 @@
 	readErrors, writeErrors *metrics.Counter
 	// Bytes of messages sent to other hosts, and failed reads and writes of their socket.
 	messageBytes, messageErrors *metrics.Counter
-	// Bytes of summaries sent to other failure domains; messageBytes contains them.
-	summaryBytes *metrics.Counter
 	// Received datagrams that are not valid messages, and messages and load reports that
 	// were dropped because a queue was full.
 	malformedMessages, droppedMessages *metrics.Counter
@@ -38,7 +36,7 @@
 	rejectedByReason, droppedByReason map[placement.Reason]*metrics.Counter
 	flowEvents                        map[placement.FlowEvent]*metrics.Counter
 	// Flows that were placed in other failure domains.
-	elsewhereByReason map[placement.ElsewhereReason]*metrics.Counter
+	elsewhereByReason map[placement.Elsewhere]*metrics.Counter
 	// Durations until the first response of a flow, until the response to a request, of
 	// the wait of a queued request, and of a call to the store.
 	openingSeconds, requestSeconds, waitSeconds, storeSeconds *metrics.Histogram
@@ -82,7 +80,6 @@
 		writeErrors:       set.NewCounter(`wisteriaweir_packet_errors_total{op="write"}`),
 		messageBytes:      set.NewCounter("wisteriaweir_note_bytes_sent_total"),
 		messageErrors:     set.NewCounter("wisteriaweir_note_errors_total"),
-		summaryBytes:      set.NewCounter("wisteriaweir_summary_bytes_sent_total"),
 		malformedMessages: set.NewCounter("wisteriaweir_notes_malformed_total"),
 		droppedMessages:   set.NewCounter("wisteriaweir_notes_dropped_total"),
 		ignoredUpdates:    set.NewCounter("wisteriaweir_store_updates_ignored_total"),
@@ -95,7 +92,7 @@
 		flowEvents:        map[placement.FlowEvent]*metrics.Counter{},
 		rejectedByReason:  map[placement.Reason]*metrics.Counter{},
 		droppedByReason:   map[placement.Reason]*metrics.Counter{},
-		elsewhereByReason: map[placement.ElsewhereReason]*metrics.Counter{},
+		elsewhereByReason: map[placement.Elsewhere]*metrics.Counter{},
 	}
 	for event, name := range flowEventLabels {
 		c.flowEvents[event] = set.NewCounter(`wisteriaweir_flow_events_total{event="` + name + `"}`)
@@ -124,8 +121,8 @@
 // request's wait, it also records the duration.
 func (c *counters) countFlowEvent(n placement.FlowNotice) {
 	c.flowEvents[n.Event].Inc()
-	if n.Elsewhere.Reason != placement.NotElsewhere {
-		c.elsewhereByReason[n.Elsewhere.Reason].Inc()
+	if n.Elsewhere != placement.NotElsewhere {
+		c.elsewhereByReason[n.Elsewhere].Inc()
 	}
 	switch n.Event {
 	case placement.FlowAnswered:
--- a/host/count_test.go
+++ b/host/count_test.go
@@ -10,7 +10,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"wisteriaweir/platform"
-	"wisteriaweir/spill"
 )
 
 var metricName = regexp.MustCompile(`(?m)^(wisteriaweir_[a-z_]+)`)
@@ -26,7 +25,6 @@
 	c.openingSeconds.Update(1)
 	c.requestSeconds.Update(1)
 	c.waitSeconds.Update(1)
-	c.setUtilizations([]spill.Status{{Service: "desk", Domain: "west-a"}}, nil)
 	h := &Host{metrics: set, counters: c, cfg: Config{DroppedLogLines: func() int64 { return 0 }}}
 	h.registerGauges()
 	var b bytes.Buffer
--- a/host/dump.go
+++ b/host/dump.go
@@ -7,7 +7,6 @@
 	"wisteriaweir/catalog"
 	"wisteriaweir/placement"
 	"wisteriaweir/reader"
-	"wisteriaweir/spill"
 )
 
 // Dump is the state of a host as the monitor serves it for operators.
@@ -54,8 +53,6 @@
 	Levels map[string]float64 `json:"levels,omitempty"`
 	// Flows is the number of flows in the flow table.
 	Flows int `json:"flows"`
-	// DomainLoads are the known loads of services by failure domain, if --domain-spill is set.
-	DomainLoads []spill.Status `json:"domain_loads,omitempty"`
 	// Targets are the targets that the packet goroutine knows.
 	Targets []DumpTarget `json:"targets"`
 	// Members are all known hosts, this one included, sorted by name.
@@ -113,7 +110,6 @@
 	h.inspect(ctx, h.inspectFlows, func() {
 		loads = h.forwarder.core.EvacuatedLoad()
 		d.Flows, d.Levels = h.forwarder.core.FlowCount(), h.forwarder.core.Levels(now)
-		d.DomainLoads = h.forwarder.core.DomainStatuses(now)
 		for _, t := range h.forwarder.core.Targets() {
 			d.Targets = append(d.Targets, DumpTarget{
 				ID: t.ID, Service: t.Service, Domain: t.Domain, Address: t.Address.String(), Revision: t.Position.Revision, Load: t.StatusAt(now),
--- a/host/flowlog.go
+++ b/host/flowlog.go
@@ -17,6 +17,13 @@
 	flowLogBurst = 300
 )
 
+// elsewhereLabels are the label values of the counter of flows placed in other failure
+// domains, and the values of the log field.
+var elsewhereLabels = map[placement.Elsewhere]string{
+	placement.ForLowerCost: "lower_cost",
+	placement.ForNoTarget:  "no_target",
+}
+
 // flowLogLimiter limits the rate of log lines about flows by a token bucket.
 type flowLogLimiter struct {
 	tokens float64
@@ -81,11 +88,8 @@
 	if n.Reason != 0 {
 		fields["reason"] = reasonLabels[n.Reason]
 	}
-	if n.Elsewhere.Reason != placement.NotElsewhere {
-		fields["elsewhere"] = elsewhereLabels[n.Elsewhere.Reason]
-	}
-	if n.Elsewhere.Gain > 0 {
-		fields["round_trip_ms"], fields["gain_ms"] = n.Elsewhere.RoundTrip.Seconds()*1e3, n.Elsewhere.Gain.Seconds()*1e3
+	if n.Elsewhere != placement.NotElsewhere {
+		fields["elsewhere"] = elsewhereLabels[n.Elsewhere]
 	}
 	if n.Target != nil {
 		s := n.Target.StatusAt(now)
--- a/host/forward.go
+++ b/host/forward.go
@@ -70,10 +70,6 @@
 	loadSentAt time.Duration
 	// sentEmptyLoad reports whether the last load report was empty.
 	sentEmptyLoad bool
-	// summaryAt is when reportSummary last ran.
-	summaryAt time.Duration
-	// shownUtilizations are the names of the metrics that setUtilizations last set.
-	shownUtilizations map[string]bool
 	// loadInterval is the time from the last load report to the next one.
 	loadInterval time.Duration
 	// evacuatedCountedAt is when countEvacuated last counted.
@@ -116,7 +112,6 @@
 		f.countEvacuated()
 		f.watchLevels()
 		f.countSpeeds()
-		f.reportSummary()
 	}
 	return nil
 }
@@ -129,7 +124,6 @@
 		Domain:          cfg.Settings.Domain,
 		HostsPerTarget:  cfg.HostsPerTarget,
 		TargetSpeed:     cfg.TargetSpeed,
-		DomainSpill:     cfg.DomainSpill,
 		SharedAdmission: cfg.SharedAdmission,
 		Warmup:          placement.WarmupConfig{Overshoot: cfg.Settings.WarmupOvershoot, Slack: cfg.Settings.WarmupSlack},
 		Seed:            cfg.Seed,
@@ -165,14 +159,14 @@
 	}
 }
 
-// handleLoad passes the report of another host to the core. A summary from another failure
-// domain contains no health report, and does not replace the host's last one.
+// handleLoad passes the report of another host to the core. Hosts of earlier releases in other
+// failure domains may also send loads of services: these contain no health report, and do
+// not replace the host's last one.
 func (f *forwarder) handleLoad(l receivedLoad) {
 	switch now := f.h.now(); {
 	case l.sameDomain:
 		f.core.SetPeerLoad(now, l.name, l.load)
 	case len(l.load.Services) > 0:
-		f.core.SetDomainSummary(now, l.name, l.domain, l.load)
 	default:
 		f.core.SetHealthReport(now, l.name, l.load)
 	}
--- a/host/forward_test.go
+++ b/host/forward_test.go
@@ -51,15 +51,15 @@
 // TestSwitchesReachPlacement guards against a setting of the host without any effect.
 func TestSwitchesReachPlacement(t *testing.T) {
 	f := &forwarder{h: &Host{cfg: Config{
-		HostsPerTarget: 4, TargetSpeed: true, DomainSpill: true, SharedAdmission: placement.ShortFlowAdmission,
-		Settings: platform.HostSettings{Name: "one", Domain: "west-a", WarmupOvershoot: 1.5, WarmupSlack: 5},
+		HostsPerTarget: 4, TargetSpeed: true, SharedAdmission: placement.ShortFlowAdmission,
+		Settings: platform.HostSettings{Name: "one", Domain: "west-a", WarmupOvershoot: 1.5, WarmupSlack: 5, LinkMbps: 2},
 	}}}
 	cfg := f.placementConfig()
 	qt.Check(t, cfg.Host, qt.Equals, "one")
+	qt.Check(t, cfg.LinkMbps, qt.Equals, 2.0)
 	qt.Check(t, cfg.Domain, qt.Equals, "west-a")
 	qt.Check(t, cfg.HostsPerTarget, qt.Equals, 4)
 	qt.Check(t, cfg.TargetSpeed, qt.IsTrue)
-	qt.Check(t, cfg.DomainSpill, qt.IsTrue)
 	qt.Check(t, cfg.SharedAdmission, qt.Equals, placement.ShortFlowAdmission)
 	qt.Check(t, cfg.Warmup, qt.Equals, placement.WarmupConfig{Overshoot: 1.5, Slack: 5})
 }
--- a/host/host.go
+++ b/host/host.go
@@ -60,9 +60,6 @@
 	// SharedAdmission selects the services that have an admission level, which the hosts of
 	// a failure domain share; see package admission.
 	SharedAdmission placement.SharedAdmission
-	// DomainSpill places new flows in other failure domains by the load there, which the
-	// hosts report to each other; see package spill.
-	DomainSpill bool
 	// DroppedLogLines returns the number of log lines that were dropped. Nil means
 	// that the log drops none.
 	DroppedLogLines func() int64
@@ -98,11 +95,8 @@
 	// outgoingLoads carries the load reports of this host's flows to the control
 	// goroutine.
 	outgoingLoads chan placement.LoadReport
-	// outgoingSummaries carries the summaries of this host for other failure domains to the
-	// control goroutine.
-	outgoingSummaries chan placement.LoadReport
-	// receivedLoads carries the load reports, health reports and summaries of other hosts
-	// to the packet goroutine.
+	// receivedLoads carries the load and health reports of other hosts to the packet
+	// goroutine.
 	receivedLoads chan receivedLoad
 	// domainPeerCount is the number of other hosts in this host's failure domain.
 	domainPeerCount atomic.Int32
@@ -142,7 +136,7 @@
 const maxQueuedPeerLoads = 64
 
 // receivedLoad is a load report from the host with the given name. If that host is in
-// another failure domain, only the health report or the summary in it is used.
+// another failure domain, only the health report in it is used.
 type receivedLoad struct {
 	name       string
 	domain     string
@@ -177,8 +171,6 @@
 
 		outgoingLoads: make(chan placement.LoadReport, 1),
 		receivedLoads: make(chan receivedLoad, maxQueuedPeerLoads),
-
-		outgoingSummaries: make(chan placement.LoadReport, 1),
 	}
 	h.backoff = platform.NewBackoff(platform.BackoffConfig{InitialDelay: initialRetryDelay, MaxDelay: maxRetryDelay, Seed: cfg.Seed})
 	h.settings.Store(&cfg.Settings)
--- a/measure/overload_caller.go
+++ b/measure/overload_caller.go
@@ -14,7 +14,7 @@
 	}
 	q.tries++
 	idle := &r.idle[q.domain]
-	if n := len(*idle); q.class.keepsFlows && q.tries == 1 && n > 0 && !r.spill.onNewFlows {
+	if n := len(*idle); q.class.keepsFlows && q.tries == 1 && n > 0 {
 		f := (*idle)[0]
 		*idle = (*idle)[1:]
 		f.request = q
--- a/measure/overload_run.go
+++ b/measure/overload_run.go
@@ -57,13 +57,11 @@
 	Timeline
 	pattern  overloadPattern
 	strategy overloadStrategy
-	// spill holds the differences between this run and those of Overload.
-	spill   spillOptions
-	rng     *rand.Rand
-	cat     catalog.Catalog
-	hosts   []*overloadHost
-	targets map[string]*overloadTarget
-	flows   map[uint32]*overloadFlow
+	rng      *rand.Rand
+	cat      catalog.Catalog
+	hosts    []*overloadHost
+	targets  map[string]*overloadTarget
+	flows    map[uint32]*overloadFlow
 	// idle holds the idle flows by failure domain.
 	idle     [overloadDomains][]*overloadFlow
 	requests []*overloadRequest
@@ -193,8 +191,8 @@
 	h.dark = false
 	h.busy, h.waiting = map[*overloadTarget]int{}, map[*overloadTarget][]*overloadFlow{}
 	h.core = placement.New(placement.Config{
-		Domain: domainName(h.domain), Seed: r.rng.Uint64(), MaxFlows: 100_000, ObserveFlow: r.spill.observe,
-		SharedAdmission: r.strategy.sharedAdmission(), TargetSpeed: r.pattern.targetSpeed, DomainSpill: r.spill.enabled,
+		Domain: domainName(h.domain), Seed: r.rng.Uint64(), MaxFlows: 100_000,
+		SharedAdmission: r.strategy.sharedAdmission(), TargetSpeed: r.pattern.targetSpeed,
 	})
 	h.core.SetCatalog(r.Now(), r.cat)
 }
@@ -210,7 +208,6 @@
 	for _, h := range r.hosts {
 		r.tick(h)
 		r.report(h)
-		r.reportSummary(h)
 	}
 	r.After(overloadBurstAt, func() { r.beginBurst() })
 	r.After(overloadBurstEnd, func() { r.endBurst() })
@@ -288,7 +285,7 @@
 	if r.pattern.isCalmEven && !isInBurst(r.Now()) {
 		return r.rng.IntN(overloadDomains)
 	}
-	weights := r.domainWeights()
+	weights := r.pattern.domainWeights
 	total := 0.0
 	for _, w := range weights {
 		total += w
@@ -375,6 +372,16 @@
 	r.applyEffects(h)
 }
 
+// reportInterval returns the time between two load reports of a host: that of package host if
+// the pattern has late reports, else overloadReportInterval.
+func (r *overloadRun) reportInterval() time.Duration {
+	if !r.pattern.hasLateReports {
+		return overloadReportInterval
+	}
+	peers := len(r.hosts)/overloadDomains - 1
+	return 15*time.Millisecond + time.Duration(peers)*10*time.Millisecond
+}
+
 // report sends the load report of a host to its domain peers at regular intervals.
 func (r *overloadRun) report(h *overloadHost) {
 	r.After(r.reportInterval(), func() { r.report(h) })
--- a/measure/overload_target.go
+++ b/measure/overload_target.go
@@ -8,12 +8,9 @@
 
 // forward takes a packet from the host of f to a target.
 func (r *overloadRun) forward(f *overloadFlow, t *overloadTarget, isOpening, hasData bool) {
-	if r.isCutOff(f.host.domain, t.domain) {
-		return
-	}
 	delay := localDelay
 	if f.host.domain != t.domain {
-		delay = r.remoteDelay()
+		delay = remoteDelay
 	}
 	switch {
 	case isOpening:
@@ -29,7 +26,7 @@
 	if t.silent {
 		return
 	}
-	r.After(callerDelay+r.returnDelay(f, t), func() {
+	r.After(callerDelay, func() {
 		if f.opened || f.closed {
 			return
 		}
@@ -85,5 +82,5 @@
 
 // respond takes a response to the caller.
 func (r *overloadRun) respond(job overloadJob, size uint32) {
-	r.After(callerDelay+r.returnDelay(job.flow, job.flow.target), func() { r.receiveResponse(job, size) })
+	r.After(callerDelay, func() { r.receiveResponse(job, size) })
 }
--- a/measure/overload_test.go
+++ b/measure/overload_test.go
@@ -19,6 +19,9 @@
 	minInTimeAfter = 0.9
 )
 
+// overloadSeeds is the number of runs of which the figures are added up.
+const overloadSeeds = 3
+
 // runPattern runs a pattern by a strategy, with several seeds, and returns the sums of
 // the counts and the means of the fractions.
 func runPattern(p overloadPattern, s overloadStrategy) overloadResult {
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -5,8 +5,7 @@
 // Terms of the cost of a target. The unit is one request in progress on a target
 // with two slots, whose window has its initial size.
 const (
-	// otherDomainCost is added for a target in another failure domain, unless package spill
-	// knows the load there; see domainCost.
+	// otherDomainCost is added for a target in another failure domain.
 	otherDomainCost = 2.5
 	// warmupCost is added for a target that is warming up after its start.
 	warmupCost = 2
@@ -32,7 +31,6 @@
 // is at best in the class of ejected targets.
 func (c *Core) choose(now time.Duration, service string, objective time.Duration, lastResort *Target) (*Target, Elsewhere) {
 	c.cutOff = c.isCutOff(now)
-	preference := c.preferDomain(now, service, objective)
 	var best, refused *Target
 	bestClass, bestCost, ties := normalClass, 0.0, 0
 	for _, t := range c.pools[service] {
@@ -44,7 +42,7 @@
 			refused = t
 			continue
 		}
-		cost := c.cost(now, t, preference) + c.jitter(t)
+		cost := c.cost(now, t) + c.jitter(t)
 		switch {
 		case best == nil || class < bestClass || class == bestClass && cost < bestCost:
 			best, bestClass, bestCost, ties = t, class, cost, 1
@@ -59,9 +57,9 @@
 		c.notifyFlow(FlowNotice{Event: PermitRefused, Target: refused})
 	}
 	if best == nil {
-		return nil, Elsewhere{}
+		return nil, NotElsewhere
 	}
-	return best, c.elsewhere(now, best, preference)
+	return best, c.elsewhere(now, best)
 }
 
 // selectionClass is the class in which a target competes for a new flow. A class is used
@@ -113,10 +111,12 @@
 // one that this host knows of, relative to the speed of the target, and those that stand for
 // another failure domain and for a target that is assigned to other hosts. The last two do
 // not depend on the speed: they stand for a delay and for a preference.
-func (c *Core) cost(now time.Duration, t *Target, preference domainPreference) float64 {
+func (c *Core) cost(now time.Duration, t *Target) float64 {
 	requests := float64(t.load()+t.queue.currentSize()+t.peerLoad.Queued) + loadPerOpeningFlow*float64(t.openingFlows)
 	load := t.timeFor(requests) + loadPerOpenFlow*float64(t.openFlows)/t.speed()
-	load += c.domainCost(t, preference)
+	if t.Domain != c.cfg.Domain {
+		load += otherDomainCost
+	}
 	if t.outsideSubset {
 		load += outsideSubsetLoad
 	}
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -193,7 +193,6 @@
 		f.ackSeq = p.AckSeq
 		hasProgressed = true
 		c.recordPath(now, f)
-		c.recordHandshake(now, f)
 		c.notifyFlow(FlowNotice{Event: FlowAnswered, Flow: f.key, Target: f.target, Duration: now - f.openedAt})
 	}
 	if packet.SeqAfter(p.AckSeq, f.ackSeq) {
--- a/placement/neighbour.go
+++ b/placement/neighbour.go
@@ -11,8 +11,8 @@
 	remoteDeadTTL = 1500 * time.Millisecond
 )
 
-// LoadReport is the state of the targets as the flows of one host show it, or a summary of
-// it that has only Services; see DomainSummary. Hosts send it to each other.
+// LoadReport is the state of the targets as the flows of one host show it. Hosts send it to
+// each other.
 type LoadReport struct {
 	// Targets holds the load of each target that has any, by its stamp.
 	Targets map[uint32]TargetLoad
@@ -32,8 +32,6 @@
 	Domain string
 	// Level is the admission level of the host for the service, 0 if it admits every flow.
 	Level float64
-	// Utilization is the number of requests in progress and queued per slot.
-	Utilization float64
 }
 
 // WithMinRequests returns a copy of l without the targets that have fewer than n requests
--- a/placement/opening.go
+++ b/placement/opening.go
@@ -65,9 +65,6 @@
 			continue
 		}
 		c.setSuspect(now, f.target)
-		if c.spill != nil {
-			c.spill.RecordUnanswered(now, f.target.Domain)
-		}
 		c.hedgeOpening(now, f)
 	}
 	c.openings = append(c.openings[:0], c.openings[n:]...)
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -38,7 +38,6 @@
 	"wisteriaweir/packet"
 	"wisteriaweir/route"
 	"wisteriaweir/speed"
-	"wisteriaweir/spill"
 	"wisteriaweir/warmup"
 )
 
@@ -110,9 +109,6 @@
 	Domain string
 	// Warmup bounds the opening packets that are sent to a target that is warming up.
 	Warmup WarmupConfig
-	// DomainSpill places flows in other failure domains by the load reported from there; see
-	// package spill. If it is false, a fixed cost applies to all other domains.
-	DomainSpill bool
 	// Seed seeds the choice between targets of equal cost, and between the services of
 	// a route.
 	Seed uint64
@@ -233,10 +229,6 @@
 	isolated bool
 	// cutOff is the result of isCutOff for the latest choice of a target.
 	cutOff bool
-	// spill chooses the failure domains of new flows, nil without Config.DomainSpill.
-	spill *spill.Core
-	// spillLoads are the loads that were last passed to spill, by service.
-	spillLoads map[string]spillLoads
 	// sweptAt is when sweep last ran.
 	sweptAt time.Duration
 }
@@ -266,10 +258,6 @@
 		worstPriorities: map[string]int{},
 		admissions:      map[string]*admission.Controller{},
 	}
-	if cfg.DomainSpill {
-		c.spill = spill.New(spill.Config{Domain: cfg.Domain, Seed: cfg.Seed})
-		c.spillLoads = map[string]spillLoads{}
-	}
 	return c
 }
 
--- a/placement/progress.go
+++ b/placement/progress.go
@@ -31,9 +31,6 @@
 		return
 	}
 	f.countedBusy = true
-	if c.spill != nil {
-		c.spill.RecordRequest(f.target.Service)
-	}
 	f.requestedAt = now
 	f.foundFreeSlot = f.target.hasFreeSlot(now)
 	f.target.busy++
--- a/placement/script_setup_test.go
+++ b/placement/script_setup_test.go
@@ -154,23 +154,6 @@
 	return nil
 }
 
-// startSpill replaces the core by one that places flows by the load of failure domains.
-func (r *runner) startSpill() {
-	cfg := r.config()
-	cfg.MaxFlows, cfg.DomainSpill = 500, true
-	r.showsElsewhere = true
-	r.core = placement.New(cfg)
-	r.core.SetCatalog(r.now, r.cat)
-}
-
-func (r *runner) setSummary(args []string) error {
-	service, value, _ := strings.Cut(args[2], "=")
-	utilization, err := strconv.ParseFloat(value, 64)
-	l := placement.LoadReport{Services: map[string]placement.ServiceLoad{service: {Domain: args[1], Utilization: utilization}}}
-	r.core.SetDomainSummary(r.now, args[0], args[1], l)
-	return err
-}
-
 // position returns the store's current position.
 func (r *runner) position() catalog.Position {
 	return catalog.Position{Era: r.era, Revision: r.revision}
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -116,8 +116,8 @@
 
 func (r *runner) observeFlow(n placement.FlowNotice) {
 	r.elsewhere = ""
-	if r.showsElsewhere && n.Elsewhere.Reason != placement.NotElsewhere {
-		r.elsewhere = fmt.Sprintf(" elsewhere, reason %d", n.Elsewhere.Reason)
+	if r.showsElsewhere && n.Elsewhere != placement.NotElsewhere {
+		r.elsewhere = fmt.Sprintf(" elsewhere, reason %d", n.Elsewhere)
 	}
 	if n.Event == placement.PermitRefused {
 		r.printf("%s: %s", n.Target.ID, n.Event)
@@ -158,14 +158,12 @@
 //	                Requests on a named target end by error (a short response), quit (the caller ends the flow)
 //	                or silence; others are answered
 //	wait TIME       time passes in steps of 10 ms, with no unread packet
+//	reasons         prints from now on why flows are placed in another failure domain
 //	outage          the store is unavailable now
 //	restore N       the store comes back from a copy with revision N; the next command that
 //	                sets targets lists them from it
 //	evacuate DOMAIN ...    sets the evacuated failure domains; none without an argument
 //	isolated on|off    whether the host is isolated
-//	spill           a new core that places flows by the load of failure domains
-//	summary N DOMAIN SERVICE=UTILIZATION    the summary of host N in another failure domain
-//	summaries       prints the summary of this host for the service desk
 //	busy TIME       time passes, with unread packets throughout
 //	link MBPS       starts a new core on a host with this link speed; must be the first command
 //	upload C N TIME    N full packets of caller C, TIME apart, with no unread packet in between
@@ -195,14 +193,8 @@
 	case "isolated":
 		r.core.SetIsolated(args[0] == "on")
 		return nil
-	case "spill":
-		r.startSpill()
-		return nil
-	case "summary":
-		return r.setSummary(args)
-	case "summaries":
-		l, ok := r.core.DomainSummary(r.now)
-		r.printf("%t %.2f", ok, l.Services["desk"].Utilization)
+	case "reasons":
+		r.showsElsewhere = true
 		return nil
 	case "restore":
 		return r.restore(args)
--- a/placement/target.go
+++ b/placement/target.go
@@ -278,7 +278,6 @@
 func (c *Core) removeGoneServices() {
 	maps.DeleteFunc(c.flowCounts, func(service string, _ *flowCount) bool { return c.pools[service] == nil })
 	maps.DeleteFunc(c.subsets, func(service string, _ subsetInput) bool { return c.pools[service] == nil })
-	maps.DeleteFunc(c.spillLoads, func(service string, _ spillLoads) bool { return c.pools[service] == nil })
 }
 
 // sortedTargets returns the targets, sorted by start time and then by ID.
--- a/reader/codec.go
+++ b/reader/codec.go
@@ -86,7 +86,7 @@
 		}
 		for name, s := range m.Services {
 			l.Services = append(l.Services, &readerpb.ServiceLoad{
-				Service: name, Domain: s.Domain, Level: float32(s.Level), Utilization: float32(s.Utilization),
+				Service: name, Domain: s.Domain, Level: float32(s.Level),
 			})
 		}
 		return e.encodeSingle(&readerpb.Note{Body: &readerpb.Note_Load{Load: l}})
@@ -212,7 +212,7 @@
 		if l.Services == nil {
 			l.Services = map[string]placement.ServiceLoad{}
 		}
-		l.Services[s.Service] = placement.ServiceLoad{Domain: s.Domain, Level: float64(s.Level), Utilization: float64(s.Utilization)}
+		l.Services[s.Service] = placement.ServiceLoad{Domain: s.Domain, Level: float64(s.Level)}
 	}
 	return Load{LoadReport: l}, nil
 }
