Drop the latency objective from the choice of a target

Change: one parameter less of choose. Run: lint clean, ./placement green. Conclusion: none for the behaviour.

--- a/placement/choose.go
+++ b/placement/choose.go
@@ -26,10 +26,9 @@
 // choose returns the target for a new flow of a service, or nil if there is none, and why
 // the target is in another failure domain, if it is. It picks the lowest cost within the
 // best class, and one at random of several with equal cost. Targets that are warming up
-// and for which this host has no permit are left out. objective is the latency objective
-// of the route. lastResort, which may be nil, is the target that the flow should leave: it
-// is at best in the class of ejected targets.
-func (c *Core) choose(now time.Duration, service string, objective time.Duration, lastResort *Target) (*Target, Elsewhere) {
+// and for which this host has no permit are left out. lastResort, which may be nil, is the
+// target that the flow should leave: it is at best in the class of ejected targets.
+func (c *Core) choose(now time.Duration, service string, lastResort *Target) (*Target, Elsewhere) {
 	c.cutOff = c.isCutOff(now)
 	var best, refused *Target
 	bestClass, bestCost, ties := normalClass, 0.0, 0
--- a/placement/opening.go
+++ b/placement/opening.go
@@ -76,8 +76,7 @@
 	if f.targetsTried >= maxHedgeTargets {
 		return
 	}
-	objective, _ := latencyLimits(c.routeOf(f))
-	t, elsewhere := c.choose(now, f.service, objective, f.target)
+	t, elsewhere := c.choose(now, f.service, f.target)
 	if t == nil || t == f.target {
 		return
 	}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -301,7 +301,7 @@
 	}
 	service := r.Pick(c.rnd.Float64())
 	objective, _ := latencyLimits(r)
-	t, elsewhere := c.choose(now, service, objective, nil)
+	t, elsewhere := c.choose(now, service, nil)
 	if t == nil {
 		return c.reject(p, NoTarget)
 	}
@@ -338,8 +338,7 @@
 	if !r.HasService(f.service) {
 		f.service = r.Pick(c.rnd.Float64())
 	}
-	objective, _ := latencyLimits(r)
-	t, elsewhere := c.choose(now, f.service, objective, f.target)
+	t, elsewhere := c.choose(now, f.service, f.target)
 	if t == nil {
 		c.removeFlow(f)
 		return c.reject(p, NoTarget)
