Keep the places of urgent requests free of overdue ones

Cause: found by reading the diff: if only the reserve had room, the next request could be an overdue one whose turn it was. Change: what is sent next is a decision of its own, nextQueued; from the reserve only urgent requests in time are sent. Test: TestReserveIsForUrgentRequests, red with the decision as before.

--- a/placement/dispatch.go
+++ b/placement/dispatch.go
@@ -126,8 +126,8 @@
 // dispatch sends queued requests as long as the target has room.
 func (c *Core) dispatch(now time.Duration, t *Target) {
 	t.queue.refresh(now)
-	for c.canDispatch(now, t) && !c.mustHoldQueue(now, t) {
-		q := t.queue.popNext(now, t.currentLatency(now), t.load() < t.slots()*oldQueueThreshold && !c.isCongested(now, t), c.isOverloaded(now, t.Service))
+	for !c.mustHoldQueue(now, t) {
+		q := c.nextQueued(now, t)
 		if q == nil {
 			return
 		}
@@ -135,6 +135,20 @@
 	}
 }
 
+// nextQueued removes the queued request that is sent to t next and returns it, nil if there
+// is none or t has no room for it.
+func (c *Core) nextQueued(now time.Duration, t *Target) *queuedRequest {
+	switch {
+	case t.hasRoom(now):
+		hasFreeSlot := t.load() < t.slots()*oldQueueThreshold && !c.isCongested(now, t)
+		return t.queue.popNext(now, t.currentLatency(now), hasFreeSlot, c.isOverloaded(now, t.Service))
+	case c.hasUrgentRoom(now, t):
+		return t.queue.popOnTime(now)
+	default:
+		return nil
+	}
+}
+
 // sendQueued sends a queued request to its target.
 func (c *Core) sendQueued(now time.Duration, q *queuedRequest) {
 	f := q.f
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -254,9 +254,9 @@
 		usualLatencies: map[route.Address]speed.Usual{},
 		paths:          map[string]speed.Path{},
 		lastShed:       map[string]shedding{},
+		admissions:     map[string]*admission.Controller{},
 
 		worstPriorities: map[string]int{},
-		admissions:      map[string]*admission.Controller{},
 	}
 	return c
 }
--- a/placement/queue.go
+++ b/placement/queue.go
@@ -110,6 +110,8 @@
 	return bestPriorityOf(r.onTime)
 }
 
+// bestPriorityOf returns the best priority of the entries of lists that are still queued, or
+// maxPriority if there are none.
 func bestPriorityOf(lists ...[]*queuedRequest) int {
 	best := maxPriority
 	for _, list := range lists {
@@ -146,18 +148,22 @@
 	}
 }
 
+// popOnTime removes the best request of class onTime and returns it. There must be one.
+func (r *requestQueue) popOnTime(now time.Duration) *queuedRequest {
+	return popBest(&r.onTime, r.onTime[0].isPastHalfWait(now))
+}
+
 // popNext removes the request that is sent next and returns it, nil if there is none.
 // latency is the typical latency of the target, 0 if it is idle; hasFreeSlot reports
 // whether one of its slots is free, isOverloaded whether flows of its service have been
-// rejected recently. refresh must
-// have been called with the same now.
+// rejected recently. refresh must have been called with the same now.
 func (r *requestQueue) popNext(now, latency time.Duration, hasFreeSlot, isOverloaded bool) *queuedRequest {
 	switch {
 	case len(r.overdue) > 0 && r.overdueCredit >= 1 && !isOverloaded:
 		r.overdueCredit = 0
 		return popBest(&r.overdue, false)
 	case len(r.onTime) > 0:
-		return popBest(&r.onTime, r.onTime[0].isPastHalfWait(now))
+		return r.popOnTime(now)
 	case len(r.unknownAge) > 0:
 		return popBest(&r.unknownAge, true)
 	case len(r.overdue) > 0 && hasFreeSlot && hasSpareCapacity(latency, r.overdue[0].objective):
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -31,3 +31,20 @@
 	qt.Assert(t, c.isOverloaded(1900*time.Millisecond, "desk"), qt.IsTrue)
 	qt.Assert(t, c.isOverloaded(2*time.Second, "desk"), qt.IsFalse)
 }
+
+// TestReserveIsForUrgentRequests guards against overdue requests that use the places beyond
+// the window, which are reserved for urgent ones.
+func TestReserveIsForUrgentRequests(t *testing.T) {
+	const now = time.Second
+	c := New(Config{})
+	c.worstPriorities["desk"] = 1
+	target := &Target{window: newWindow(2), busy: 2}
+	target.Service, target.Slots = "desk", 2
+	late, urgent := &flow{}, &flow{}
+	late.queued = &queuedRequest{f: late, expiresAt: 2 * time.Second}
+	urgent.queued = &queuedRequest{f: urgent, queuedAt: now, objectiveDeadline: now + 50*time.Millisecond, expiresAt: 2 * time.Second}
+	target.queue = requestQueue{onTime: []*queuedRequest{urgent.queued}, overdue: []*queuedRequest{late.queued}, overdueCredit: 1}
+	qt.Assert(t, c.nextQueued(now, target), qt.Equals, urgent.queued)
+	qt.Assert(t, c.nextQueued(now, target), qt.IsNil)
+	qt.Assert(t, target.queue.overdue, qt.HasLen, 1)
+}
--- a/placement/urgent.go
+++ b/placement/urgent.go
@@ -39,12 +39,9 @@
 	return t.slots() * urgentPerSlot
 }
 
-// canDispatch reports whether the best queued request may be sent to t: there is room in
-// the window, or, for an urgent request, in the reserve beyond it.
-func (c *Core) canDispatch(now time.Duration, t *Target) bool {
-	if t.hasRoom(now) {
-		return true
-	}
+// hasUrgentRoom reports whether the best request in time that is queued for t is urgent and
+// fits into the reserve beyond the window.
+func (c *Core) hasUrgentRoom(now time.Duration, t *Target) bool {
 	reserve := c.urgentReserve(now, t, t.queue.bestOnTimePriority())
 	return reserve > 0 && t.window.hasRoom(t.busy-reserve)
 }
