Share stalls between the hosts of a failure domain, and let them be refuted

Cause: a host considers a target dead after two of its own flows have stalled there.

Change: a host reports each stall at once to its domain peers. A peer that has seen a response of the target since, or of any target of its failure domain, says so; the others add the stall to their own evidence. One stall here and one elsewhere are enough, and so is one if flows on three targets of a failure domain have stalled and none of its targets has responded. With domain peers, the decision waits 25 ms for refutations. A target whose entry is gone as well stays dead.

--- a/host/control.go
+++ b/host/control.go
@@ -166,6 +166,9 @@
 	}
 	select {
 	case c.h.receivedLoads <- receivedLoad{name: m.from.Name, domain: m.from.Domain, sameDomain: m.from.Domain == c.h.cfg.Settings.Domain, load: l.LoadReport}:
+		if len(l.Stalled) > 0 || len(l.Responded) > 0 {
+			c.h.wakeForwarder()
+		}
 	default:
 		c.h.counters.droppedMessages.Inc()
 	}
--- a/host/forward.go
+++ b/host/forward.go
@@ -179,6 +179,9 @@
 	if err := f.h.packetConn.SetReadDeadline(time.Now().Add(f.readWait())); err != nil {
 		return err
 	}
+	if len(f.h.receivedLoads) > 0 {
+		f.h.wakeForwarder() // A report has arrived since handleQueuedInputs.
+	}
 	n, err := f.receive()
 	now := f.h.now()
 	if f.h.catalogAge(now) > f.h.outageAge() {
@@ -213,6 +216,14 @@
 	return nil
 }
 
+// wakeForwarder ends the packet goroutine's wait for a packet, so that it processes the reports
+// of other hosts at once.
+func (h *Host) wakeForwarder() {
+	if err := h.packetConn.SetReadDeadline(time.Now()); err != nil {
+		h.counters.readErrors.Inc()
+	}
+}
+
 // outageAge returns the age of the store's last response above which the store
 // counts as unavailable.
 func (h *Host) outageAge() time.Duration {
--- a/host/load.go
+++ b/host/load.go
@@ -24,6 +24,9 @@
 	maxLoadCutoff = 4
 	// maxLoadInterval is the longest time between two load reports.
 	maxLoadInterval = 500 * time.Millisecond
+	// urgentLoadInterval is the minimum time between two load reports if the second one is
+	// urgent; see placement.Core.HasUrgentReport.
+	urgentLoadInterval = 10 * time.Millisecond
 	// loadFrameBytes is the approximate size of a load report without targets.
 	loadFrameBytes = 60
 	// loadEntryBytes is the approximate size of one target in a load report.
@@ -38,18 +41,23 @@
 func (f *forwarder) reportLoad() {
 	peers := min(int(f.h.domainPeerCount.Load()), maxLoadReportHosts)
 	now := f.h.now()
-	if now-f.loadSentAt < f.loadInterval {
+	interval := f.loadInterval
+	if f.core.HasUrgentReport() {
+		interval = min(interval, urgentLoadInterval)
+	}
+	if now-f.loadSentAt < interval {
 		return
 	}
-	l, interval := fitBudget(f.core.LoadReport(now), peers)
-	isEmpty := len(l.Targets) == 0 && len(l.Dead) == 0 && len(l.Failures) == 0 && len(l.Services) == 0
+	l, next := fitBudget(f.core.LoadReport(now), peers)
+	isEmpty := len(l.Targets) == 0 && len(l.Dead) == 0 && len(l.Failures) == 0 && len(l.Services) == 0 &&
+		len(l.Stalled) == 0 && len(l.Responded) == 0
 	if isEmpty && f.sentEmptyLoad {
 		f.loadSentAt = now
 		return
 	}
 	select {
 	case f.h.outgoingLoads <- l:
-		f.loadSentAt, f.sentEmptyLoad, f.loadInterval = now, isEmpty, interval
+		f.loadSentAt, f.sentEmptyLoad, f.loadInterval = now, isEmpty, next
 	default:
 		f.h.counters.droppedMessages.Inc()
 	}
@@ -78,7 +86,7 @@
 
 // reportBytes returns the approximate number of bytes of a report to all peers.
 func reportBytes(l placement.LoadReport, peers int) float64 {
-	size := loadFrameBytes + loadEntryBytes*len(l.Targets)
+	size := loadFrameBytes + loadEntryBytes*(len(l.Targets)+len(l.Stalled)+len(l.Responded))
 	for service, s := range l.Services {
 		size += serviceEntryBytes + len(service) + len(s.Domain)
 	}
--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -69,6 +69,7 @@
 	latencyEWMA time.Duration
 	// dead reports whether the target is considered dead: it responds to no flow.
 	dead bool
+	suspicion
 }
 
 // recordLatency adds the latency of one response to the moving average.
@@ -106,9 +107,9 @@
 	t := f.target
 	c.recentProgress.add(now)
 	t.lastProgressAt = now
+	c.recordDomainProgress(t, now)
 	if t.stalledFlows > 0 {
-		t.stalledFlows = 0
-		t.stallGeneration++
+		t.clearStalls()
 	}
 	t.suspectUntil, t.reportedDeadUntil = 0, 0
 	if t.dead {
@@ -128,18 +129,19 @@
 	}
 	if f.stalledGeneration != t.stallGeneration+1 {
 		f.stalledGeneration = t.stallGeneration + 1
+		if t.stalledFlows == 0 || f.lastSentAt < t.since {
+			t.since = f.lastSentAt
+		}
 		t.stalledFlows++
 		if !t.dead {
 			c.recentStalls.add(now)
+			c.reportUrgent = true
 		}
 	}
+	t.newestSince = max(t.newestSince, f.lastSentAt)
 	t.lastStallAt = now
 	c.setSuspect(now, t)
-	if !t.dead && c.isDead(now, t) {
-		t.dead = true
-		c.notify(TargetDead, t)
-		c.failOver(now, t)
-	}
+	c.judgeDomain(now, t.Domain)
 }
 
 // mayMissResponse reports whether the response to the data last sent on f may have been
@@ -157,9 +159,9 @@
 }
 
 // isKnownDead reports whether the target is considered dead by evidence that has not
-// expired.
-func (h *healthState) isKnownDead(now time.Duration) bool {
-	return h.dead && now-h.lastStallAt < deadTTL
+// expired. It does not expire if the entry of the target is gone as well.
+func (t *Target) isKnownDead(now time.Duration) bool {
+	return t.dead && (now-t.lastStallAt < deadTTL || t.removed && !t.mayBeReadded(now))
 }
 
 // expireDead ends the dead state of a target if no flow has stalled on it within
@@ -189,10 +191,13 @@
 	if c.recentProgress.countWithin(now, selfCheckWindow) < c.recentStalls.countWithin(now, selfCheckWindow) {
 		return false
 	}
+	if t.stalledFlows == 0 {
+		return false
+	}
 	if t.removed && !t.mayBeReadded(now) || t.isReportedDead(now) {
-		return t.stalledFlows > 0
+		return true
 	}
-	return t.stalledFlows >= minDeadStalls
+	return t.stalledFlows+t.peerStallCount(now) >= minDeadStalls || c.isDomainSilent(now, t.Domain)
 }
 
 // failOver acts on the flows that wait for a response of a dead target: opening
--- a/placement/neighbour.go
+++ b/placement/neighbour.go
@@ -23,6 +23,12 @@
 	Failures map[uint32]OutcomeWeights
 	// Services holds the load of whole services, by name.
 	Services map[string]ServiceLoad
+	// Stalled holds, by the stamps of targets on which flows have stalled, the time since the
+	// data without a response was sent.
+	Stalled map[uint32]time.Duration
+	// Responded holds, by the stamps of targets that other hosts suspect, the time since the
+	// last response that this host knows of.
+	Responded map[uint32]time.Duration
 }
 
 // ServiceLoad is the load of the targets of a service in one failure domain, as a host
@@ -73,6 +79,7 @@
 			l.Dead = append(l.Dead, t.Stamp)
 		}
 	}
+	c.addStallReports(now, &l)
 	c.addLevels(now, &l)
 	return l
 }
@@ -83,6 +90,7 @@
 func (c *Core) SetPeerLoad(now time.Duration, name string, l LoadReport) {
 	c.domainPeers[name] = domainPeer{load: l, receivedAt: now}
 	c.SetHealthReport(now, name, l)
+	c.setStallReports(now, name, l)
 	c.setReportedLevels(now, name, l)
 	c.sumPeerLoad(now)
 	for _, t := range c.targetsInStartOrder {
--- a/placement/opening.go
+++ b/placement/opening.go
@@ -28,12 +28,15 @@
 }
 
 // NextDeadline returns the time at which Tick must be called next. It returns false
-// if Tick need not be called, because nothing is opening or queued.
+// if Tick need not be called, because nothing is opening, queued or to be judged.
 func (c *Core) NextDeadline() (time.Duration, bool) {
 	at, ok := time.Duration(0), false
 	if len(c.openings) > 0 {
 		at, ok = c.openings[0].deadline, true
 	}
+	if len(c.suspicions) > 0 && (!ok || c.suspicions[0].deadAt < at) {
+		at, ok = c.suspicions[0].deadAt, true
+	}
 	if len(c.queuedRequests) > 0 {
 		if due := c.lastExpiryAt + expireInterval; !ok || due < at {
 			at, ok = due, true
@@ -50,14 +53,15 @@
 }
 
 // Tick sends opening packets without a response to other targets, discards queued
-// requests whose callers have given up, sends those for which there is room, and ends
-// requests in progress that have reached their deadline. It must be called only when no received packet is unread,
+// requests whose callers have given up, sends those for which there is room, ends requests in
+// progress that have reached their deadline, and decides on suspected targets. It must be called only when no received packet is unread,
 // because such a packet may acknowledge a response.
 func (c *Core) Tick(now time.Duration) {
 	c.RecordSocketDrained(now)
 	c.expireRequests(now)
 	c.expireQueued(now)
 	c.dispatchDue(now)
+	c.judgeDue(now)
 	n := 0
 	for ; n < len(c.openings) && c.openings[n].deadline <= now; n++ {
 		f := c.openings[n].f
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -223,6 +223,15 @@
 	recentProgress eventWindow
 	// recentStalls counts the recent stalls on targets that were not dead.
 	recentStalls eventWindow
+	// domainProgressAt holds when a target last responded, and lastResponding that target,
+	// by failure domain.
+	domainProgressAt map[string]time.Duration
+	lastResponding   map[string]*Target
+	// suspicions are the targets that are considered dead unless the suspicion is refuted,
+	// sorted by the time of the decision.
+	suspicions []*Target
+	// reportUrgent is the result of HasUrgentReport.
+	reportUrgent bool
 	// link is the link of this host.
 	link link
 	// isolated reports whether the host is isolated; see SetIsolated.
@@ -246,9 +255,13 @@
 		hosts:          warmup.New(cfg.Host),
 		link:           newLink(cfg.LinkMbps),
 
-		subsets:        map[string]subsetInput{},
-		flowCounts:     map[string]*flowCount{},
-		domainPeers:    map[string]domainPeer{},
+		subsets:     map[string]subsetInput{},
+		flowCounts:  map[string]*flowCount{},
+		domainPeers: map[string]domainPeer{},
+
+		domainProgressAt: map[string]time.Duration{},
+		lastResponding:   map[string]*Target{},
+
 		remoteFailures: map[string]failureReport{},
 		responseSizes:  map[route.Address]responseSize{},
 		usualLatencies: map[route.Address]speed.Usual{},
--- a/placement/script_setup_test.go
+++ b/placement/script_setup_test.go
@@ -125,13 +125,28 @@
 }
 
 func (r *runner) setPeerLoad(args []string) error {
-	l := placement.LoadReport{Targets: map[uint32]placement.TargetLoad{}}
+	l := placement.LoadReport{
+		Targets: map[uint32]placement.TargetLoad{}, Stalled: map[uint32]time.Duration{}, Responded: map[uint32]time.Duration{},
+	}
 	for _, a := range args[1:] {
 		name, value, _ := strings.Cut(a, "=")
 		if name == "dead" {
 			l.Dead = append(l.Dead, placement.StampOf(value))
 			continue
 		}
+		if name == "stalled" || name == "responded" {
+			id, rest, _ := strings.Cut(value, "/")
+			age, err := time.ParseDuration(rest)
+			if err != nil {
+				return err
+			}
+			ages := l.Responded
+			if name == "stalled" {
+				ages = l.Stalled
+			}
+			ages[placement.StampOf(id)] = age
+			continue
+		}
 		if name == "doubt" {
 			w := strings.Split(value, "/")
 			succeeded, errS := strconv.ParseFloat(w[1], 64)
@@ -154,6 +169,20 @@
 	return nil
 }
 
+// printReport prints the stalls and responses that the core reports to its domain peers.
+func (r *runner) printReport() {
+	urgent := r.core.HasUrgentReport()
+	l := r.core.LoadReport(r.now)
+	for _, t := range r.core.Targets() {
+		if age, ok := l.Stalled[t.Stamp]; ok {
+			r.printf("%s stalled since %s, urgent %t", t.ID, age, urgent)
+		}
+		if age, ok := l.Responded[t.Stamp]; ok {
+			r.printf("%s responded %s ago, urgent %t", t.ID, age, urgent)
+		}
+	}
+}
+
 // position returns the store's current position.
 func (r *runner) position() catalog.Position {
 	return catalog.Position{Era: r.era, Revision: r.revision}
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -153,7 +153,9 @@
 //	got C BYTES     acknowledges BYTES of a response
 //	fin C           ends the flow
 //	stray C STAMP   data with another stamp
-//	others N NAME=BUSY/QUEUED ... [dead=NAME] [doubt=NAME/SUCCEEDED/FAILED]    the load and health report of host N
+//	others N NAME=BUSY/QUEUED ... [dead=NAME] [doubt=NAME/SUCCEEDED/FAILED] [stalled=NAME/AGE] [responded=NAME/AGE]
+//	                the load and health report of host N
+//	report          prints the stalls and responses in this host's load report
 //	serve N ROUTE NAME=OUTCOME ...    N flows of one request each, 30 ms apart; prints how many each target got.
 //	                Requests on a named target end by error (a short response), quit (the caller ends the flow)
 //	                or silence; others are answered
@@ -183,6 +185,9 @@
 		return r.setHosts(args)
 	case "serve":
 		return r.serveFlows(args)
+	case "report":
+		r.printReport()
+		return nil
 	case "wait":
 		return r.advance(args[0])
 	case "evacuate":
--- a/reader/codec.go
+++ b/reader/codec.go
@@ -84,6 +84,12 @@
 			l.Good = append(l.Good, encodeWeight(weights.Succeeded))
 			l.Failed = append(l.Failed, encodeWeight(weights.Failed))
 		}
+		for stamp, age := range m.Stalled {
+			l.Stalled, l.StalledMs = append(l.Stalled, stamp), append(l.StalledMs, toMilliseconds(age))
+		}
+		for stamp, age := range m.Responded {
+			l.Responded, l.RespondedMs = append(l.Responded, stamp), append(l.RespondedMs, toMilliseconds(age))
+		}
 		for name, s := range m.Services {
 			l.Services = append(l.Services, &readerpb.ServiceLoad{
 				Service: name, Domain: s.Domain, Level: float32(s.Level),
@@ -195,10 +201,14 @@
 // loadFromProto returns the load report of a wire form.
 func loadFromProto(w *readerpb.Load) (Message, error) {
 	if len(w.Stamps) != len(w.Busy) || len(w.Stamps) != len(w.Queued) ||
-		len(w.Failing) != len(w.Good) || len(w.Failing) != len(w.Failed) {
+		len(w.Failing) != len(w.Good) || len(w.Failing) != len(w.Failed) ||
+		len(w.Stalled) != len(w.StalledMs) || len(w.Responded) != len(w.RespondedMs) {
 		return nil, &MessageError{Reason: "lists of a load report differ in length"}
 	}
-	l := placement.LoadReport{Targets: make(map[uint32]placement.TargetLoad, len(w.Stamps)), Dead: w.Dead}
+	l := placement.LoadReport{
+		Targets: make(map[uint32]placement.TargetLoad, len(w.Stamps)), Dead: w.Dead,
+		Stalled: agesFromProto(w.Stalled, w.StalledMs), Responded: agesFromProto(w.Responded, w.RespondedMs),
+	}
 	for i, stamp := range w.Stamps {
 		l.Targets[stamp] = placement.TargetLoad{Busy: int(w.Busy[i]), Queued: int(w.Queued[i])}
 	}
@@ -217,6 +227,18 @@
 	return Load{LoadReport: l}, nil
 }
 
+// agesFromProto returns ages by stamp, nil if there are none. The lists have the same length.
+func agesFromProto(stamps, ms []uint32) map[uint32]time.Duration {
+	if len(stamps) == 0 {
+		return nil
+	}
+	ages := make(map[uint32]time.Duration, len(stamps))
+	for i, stamp := range stamps {
+		ages[stamp] = fromMilliseconds(ms[i])
+	}
+	return ages
+}
+
 // addFragment adds a fragment and returns the update if it is complete, otherwise nil.
 // A fragment of a newer update discards the fragments of the incomplete older one; a
 // fragment of an older update is ignored.
