Look up targets of unknown stamps at other hosts

Cause: hosts that return after a loss of power do not know the targets that were removed from the catalog before.

Change: a packet with an unknown stamp is held, and its stamp looked up at two hosts of the domain and two of others. Their replies name the target, also if it was removed, and whether they consider it dead.

Weighed against a reset of all data with an unknown stamp: that also resets flows of targets that this host does not know yet.

--- a/host/control.go
+++ b/host/control.go
@@ -125,6 +125,10 @@
 			c.handleMessage(m)
 		case l := <-c.h.outgoingLoads:
 			c.sendLoad(l)
+		case stamps := <-c.h.outgoingLookups:
+			c.lookUp(stamps)
+		case reply := <-c.h.outgoingReplies:
+			c.sendMessage(reply)
 		case u := <-c.h.storeUpdates:
 			c.applyEffects(c.core.HandleStoreUpdate(c.h.now(), u))
 		case list := <-members:
@@ -156,11 +160,17 @@
 	}
 }
 
-// handleMessage applies a message. Load and health reports are forwarded to the
-// packet goroutine, and dropped if its queue is full.
+// handleMessage applies a message. Load and health reports, lookups and replies to them are
+// forwarded to the packet goroutine, and dropped if its queue is full.
 func (c *control) handleMessage(m receivedMessage) {
-	l, ok := m.message.(reader.Load)
-	if !ok {
+	var l reader.Load
+	switch msg := m.message.(type) {
+	case reader.Load:
+		l = msg
+	case reader.Lookup, reader.Found:
+		c.queueLookup(m)
+		return
+	default:
 		c.applyEffects(c.core.HandleMessage(c.h.now(), m.from, m.message))
 		return
 	}
--- a/host/count.go
+++ b/host/count.go
@@ -32,6 +32,8 @@
 	restores *metrics.Counter
 	// Deltas of other hosts that were computed from other content than the catalog's.
 	mismatchedDeltas *metrics.Counter
+	// Stamps that other hosts were asked for.
+	lookups *metrics.Counter
 	// Flows that were reset, and packets that were dropped without a reset.
 	rejectedByReason, droppedByReason map[placement.Reason]*metrics.Counter
 	flowEvents                        map[placement.FlowEvent]*metrics.Counter
@@ -85,6 +87,7 @@
 		ignoredUpdates:    set.NewCounter("wisteriaweir_store_updates_ignored_total"),
 		restores:          set.NewCounter("wisteriaweir_store_restores_total"),
 		mismatchedDeltas:  set.NewCounter("wisteriaweir_deltas_mismatched_total"),
+		lookups:           set.NewCounter("wisteriaweir_target_lookups_total"),
 		openingSeconds:    set.NewHistogram("wisteriaweir_opening_seconds"),
 		requestSeconds:    set.NewHistogram("wisteriaweir_request_seconds"),
 		waitSeconds:       set.NewHistogram("wisteriaweir_wait_seconds"),
--- a/host/forward.go
+++ b/host/forward.go
@@ -109,6 +109,7 @@
 			return err
 		}
 		f.reportLoad()
+		f.sendLookups()
 		f.countEvacuated()
 		f.watchLevels()
 		f.countSpeeds()
@@ -143,14 +144,16 @@
 	}
 }
 
-// handleQueuedInputs passes the queued reports of other hosts to the core, and runs
-// the queued functions that inspect it.
+// handleQueuedInputs passes the queued reports and lookups of other hosts to the core, and
+// runs the queued functions that inspect it.
 func (f *forwarder) handleQueuedInputs() {
 	for {
 		select {
 		case l := <-f.h.receivedLoads:
 			f.handleLoad(l)
 			f.applyEffects()
+		case l := <-f.h.receivedLookups:
+			f.handleLookup(l)
 		case inspect := <-f.h.inspectFlows:
 			inspect()
 		default:
@@ -179,8 +182,8 @@
 	if err := f.h.packetConn.SetReadDeadline(time.Now().Add(f.readWait())); err != nil {
 		return err
 	}
-	if len(f.h.receivedLoads) > 0 {
-		f.h.wakeForwarder() // A report has arrived since handleQueuedInputs.
+	if len(f.h.receivedLoads)+len(f.h.receivedLookups) > 0 {
+		f.h.wakeForwarder() // A message has arrived since handleQueuedInputs.
 	}
 	n, err := f.receive()
 	now := f.h.now()
--- a/host/host.go
+++ b/host/host.go
@@ -98,6 +98,13 @@
 	// receivedLoads carries the load and health reports of other hosts to the packet
 	// goroutine.
 	receivedLoads chan receivedLoad
+	// outgoingLookups carries stamps that other hosts are asked for, and outgoingReplies the
+	// replies to their lookups, to the control goroutine.
+	outgoingLookups chan []uint32
+	outgoingReplies chan reader.Send
+	// receivedLookups carries the lookups of other hosts, and their replies, to the packet
+	// goroutine.
+	receivedLookups chan receivedLookup
 	// domainPeerCount is the number of other hosts in this host's failure domain.
 	domainPeerCount atomic.Int32
 	// knownHosts are the known hosts, this one included, for the packet goroutine. It is
@@ -171,6 +178,10 @@
 
 		outgoingLoads: make(chan placement.LoadReport, 1),
 		receivedLoads: make(chan receivedLoad, maxQueuedPeerLoads),
+
+		outgoingLookups: make(chan []uint32, maxQueuedLookups),
+		outgoingReplies: make(chan reader.Send, maxQueuedLookups),
+		receivedLookups: make(chan receivedLookup, maxQueuedLookups),
 	}
 	h.backoff = platform.NewBackoff(platform.BackoffConfig{InitialDelay: initialRetryDelay, MaxDelay: maxRetryDelay, Seed: cfg.Seed})
 	h.settings.Store(&cfg.Settings)
--- a/placement/notice.go
+++ b/placement/notice.go
@@ -15,6 +15,9 @@
 	TargetAdded TargetEvent = "target new"
 	// TargetRemoved: the target was removed from the catalog.
 	TargetRemoved TargetEvent = "target gone"
+	// TargetFound: a host has found a removed target at another host, by the stamp of an open
+	// flow.
+	TargetFound TargetEvent = "target found"
 	// TargetReadded: the target is listed in the catalog again.
 	TargetReadded TargetEvent = "target back"
 	// TargetDraining: the target has announced its end and gets no new flows.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -78,7 +78,8 @@
 	NoRoute Reason = iota + 1
 	// NoTarget: the route's service has no target that accepts new flows.
 	NoTarget
-	// UnknownStamp: no known target has the stamp.
+	// UnknownStamp: no known target has the stamp. The core has copied the packet if it holds
+	// data, and looks the stamp up at other hosts.
 	UnknownStamp
 	// CatalogIncomplete: the routes or the targets are not known yet.
 	CatalogIncomplete
@@ -230,6 +231,8 @@
 	// suspicions are the targets that are considered dead unless the suspicion is refuted,
 	// sorted by the time of the decision.
 	suspicions []*Target
+	// lookups are the unknown stamps of open flows.
+	lookups lookups
 	// reportUrgent is the result of HasUrgentReport.
 	reportUrgent bool
 	// link is the link of this host.
@@ -259,6 +262,8 @@
 		flowCounts:  map[string]*flowCount{},
 		domainPeers: map[string]domainPeer{},
 
+		lookups: lookups{askedAt: map[uint32]time.Duration{}},
+
 		domainProgressAt: map[string]time.Duration{},
 		lastResponding:   map[string]*Target{},
 
@@ -369,7 +374,7 @@
 func (c *Core) handleData(now time.Duration, p packet.Packet, datagram []byte) Decision {
 	t := c.targetsByStamp[p.Stamp]
 	if t == nil {
-		return Drop{Reason: UnknownStamp}
+		return c.holdUnknown(now, p, datagram)
 	}
 	f := c.flows[p.Flow]
 	if f == nil {
--- a/placement/script_setup_test.go
+++ b/placement/script_setup_test.go
@@ -169,6 +169,24 @@
 	return nil
 }
 
+// addFound passes targets that another host has found to the core.
+func (r *runner) addFound(args []string) error {
+	var found []placement.FoundTarget
+	for i, a := range args {
+		w := strings.Split(a, ":")
+		if len(w) < 3 {
+			return fmt.Errorf("malformed target %q", a)
+		}
+		t := catalog.Target{
+			ID: w[0], InstanceNumber: uint64(100 + i), Service: w[1], Domain: w[2], Slots: 2,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i + 1)}), 9000),
+		}
+		found = append(found, placement.FoundTarget{Target: t, Dead: len(w) > 3 && w[3] == "dead"})
+	}
+	r.core.AddFound(r.now, found)
+	return nil
+}
+
 // printReport prints the stalls and responses that the core reports to its domain peers.
 func (r *runner) printReport() {
 	urgent := r.core.HasUrgentReport()
--- a/placement/script_test.go
+++ b/placement/script_test.go
@@ -155,6 +155,9 @@
 //	stray C STAMP   data with another stamp
 //	others N NAME=BUSY/QUEUED ... [dead=NAME] [doubt=NAME/SUCCEEDED/FAILED] [stalled=NAME/AGE] [responded=NAME/AGE]
 //	                the load and health report of host N
+//	moved C NAME    the flow of C is from now on one that another host has opened on target NAME
+//	lookups         prints the number of stamps that the core looks up
+//	found NAME:SERVICE:DOMAIN[:dead] ...    another host has found these targets
 //	report          prints the stalls and responses in this host's load report
 //	serve N ROUTE NAME=OUTCOME ...    N flows of one request each, 30 ms apart; prints how many each target got.
 //	                Requests on a named target end by error (a short response), quit (the caller ends the flow)
@@ -188,6 +191,11 @@
 	case "report":
 		r.printReport()
 		return nil
+	case "lookups":
+		r.printf("lookups: %d", len(r.core.TakeLookups()))
+		return nil
+	case "found":
+		return r.addFound(args)
 	case "wait":
 		return r.advance(args[0])
 	case "evacuate":
@@ -219,6 +227,10 @@
 	if c == nil {
 		return fmt.Errorf("unknown caller %q", args[0])
 	}
+	if cmd == "moved" {
+		c.stamp = placement.StampOf(args[1])
+		return nil
+	}
 	if cmd == "upload" {
 		return r.upload(c, args[1], args[2])
 	}
--- a/reader/codec.go
+++ b/reader/codec.go
@@ -96,6 +96,10 @@
 			})
 		}
 		return e.encodeSingle(&readerpb.Note{Body: &readerpb.Note_Load{Load: l}})
+	case Lookup:
+		return e.encodeSingle(&readerpb.Note{Body: &readerpb.Note_Lookup{Lookup: &readerpb.Lookup{Stamps: m.Stamps}}})
+	case Found:
+		return e.encodeSingle(&readerpb.Note{Body: &readerpb.Note_Found{Found: foundToProto(m)}})
 	case Update:
 		return e.encodeFragments(m)
 	default:
@@ -190,6 +194,10 @@
 	case *readerpb.Note_Load:
 		msg, err := loadFromProto(body.Load)
 		return from, msg, err
+	case *readerpb.Note_Lookup:
+		return from, Lookup{Stamps: body.Lookup.Stamps}, nil
+	case *readerpb.Note_Found:
+		return from, foundFromProto(body.Found), nil
 	case *readerpb.Note_Part:
 		msg, err := d.addFragment(from, body.Part)
 		return from, msg, err
--- a/reader/codec_test.go
+++ b/reader/codec_test.go
@@ -54,6 +54,8 @@
 		reader.EvacuationUpdate{Position: at(9), Set: evacuation.NewSet("west-a", "west-b")},
 		reader.EvacuationUpdate{Position: at(10), Set: evacuation.NewSet()},
 		reader.Load{LoadReport: placement.LoadReport{Targets: map[uint32]placement.TargetLoad{5: {Busy: 2, Queued: 1}}, Dead: []uint32{8}, Failures: map[uint32]placement.OutcomeWeights{9: {Succeeded: 2.5, Failed: 3}}, Stalled: map[uint32]time.Duration{3: 210 * time.Millisecond}, Responded: map[uint32]time.Duration{4: 0, 6: time.Second}}},
+		reader.Lookup{Stamps: []uint32{3, 5}},
+		reader.Found{Targets: []placement.FoundTarget{{Target: someTargets(1)[0]}, {Target: someTargets(2)[1], Dead: true}}},
 		reader.Update{Position: at(12), HasAllTargets: true, Targets: someTargets(150)},
 		reader.Update{Position: at(12), Base: at(10), Changes: []catalog.Change{{Target: someTargets(1)[0]}}},
 		reader.Update{Position: at(13), Base: at(12), Changes: []catalog.Change{{Target: catalog.Target{ID: "i-1", Position: at(13)}, Removed: true}}},
--- a/reader/codec_update.go
+++ b/reader/codec_update.go
@@ -1,9 +1,11 @@
 package reader
 
 import (
+	"slices"
 	"time"
 
 	"wisteriaweir/catalog"
+	"wisteriaweir/placement"
 	"wisteriaweir/reader/readerpb"
 	"wisteriaweir/route"
 )
@@ -132,6 +134,27 @@
 	}
 }
 
+// foundToProto returns the wire form of the reply to a lookup.
+func foundToProto(m Found) *readerpb.Found {
+	w := &readerpb.Found{}
+	for _, f := range m.Targets {
+		w.Targets = append(w.Targets, targetToProto(f.Target))
+		if f.Dead {
+			w.Dead = append(w.Dead, f.Target.ID)
+		}
+	}
+	return w
+}
+
+// foundFromProto returns the reply to a lookup of a wire form.
+func foundFromProto(m *readerpb.Found) Found {
+	var found Found
+	for _, w := range m.Targets {
+		found.Targets = append(found.Targets, placement.FoundTarget{Target: targetFromProto(w), Dead: slices.Contains(m.Dead, w.Id)})
+	}
+	return found
+}
+
 // targetFromProto returns the target of a wire form, with at least one slot.
 func targetFromProto(m *readerpb.Target) catalog.Target {
 	return catalog.Target{
--- a/reader/note.go
+++ b/reader/note.go
@@ -10,7 +10,7 @@
 )
 
 // Message is a message from one host to another: Hello, Heartbeat, UpdateRequest,
-// Update, EvacuationUpdate or Load.
+// Update, EvacuationUpdate, Load, Lookup or Found.
 type Message interface {
 	isMessage()
 }
@@ -97,9 +97,22 @@
 	placement.LoadReport
 }
 
+// Lookup asks for the targets with the given stamps, which packets of open flows carry. The
+// sender lacks them: they were removed from the catalog before it started.
+type Lookup struct {
+	Stamps []uint32
+}
+
+// Found is the reply to a Lookup, with the targets that the sender knows.
+type Found struct {
+	Targets []placement.FoundTarget
+}
+
 func (Hello) isMessage()            {}
 func (Heartbeat) isMessage()        {}
 func (UpdateRequest) isMessage()    {}
 func (Update) isMessage()           {}
 func (EvacuationUpdate) isMessage() {}
 func (Load) isMessage()             {}
+func (Lookup) isMessage()           {}
+func (Found) isMessage()            {}
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -257,8 +257,8 @@
 		c.handleUpdate(now, p, m)
 	case EvacuationUpdate:
 		c.applyEvacuations(now, m)
-	case Load:
-		// Load reports are processed by package placement.
+	case Load, Lookup, Found:
+		// Package placement processes these.
 	}
 	return c.drainEffects()
 }
