Make fewer calls to the store at starts and in outages

Each start makes four lists at full price, and in an outage of the store all 78 hosts become readers, each of which repeats three calls.

Change: lists at a start may be some seconds old (a tenth of the price): the hello to the other hosts is answered with the positions that they know, and what is newer follows. While the store does not respond, one of a host's three watchers repeats its call, the others wait for its result; and only twelve hosts of a group try at first, one more each 0.5 s.

--- a/host/host.go
+++ b/host/host.go
@@ -107,6 +107,8 @@
 	receivedLookups chan receivedLookup
 	// domainPeerCount is the number of other hosts in this host's failure domain.
 	domainPeerCount atomic.Int32
+	// storeProbe coordinates the store watchers while the store does not respond.
+	storeProbe *storeProbe
 	// knownHosts are the known hosts, this one included, for the packet goroutine. It is
 	// nil until the store has listed them.
 	knownHosts atomic.Pointer[[]warmup.Host]
@@ -172,6 +174,7 @@
 		storeUpdates: make(chan reader.Update),
 
 		storeRestored: make(chan struct{}, 1),
+		storeProbe:    newStoreProbe(),
 
 		inspectFlows:   make(chan func()),
 		inspectMembers: make(chan func()),
--- a/host/members.go
+++ b/host/members.go
@@ -61,7 +61,7 @@
 		case <-renewal.C:
 			m.renewals++
 			m.announce(ctx)
-			m.publish(ctx, m.list(ctx))
+			m.publish(ctx, m.list(ctx, true))
 			renewal.Reset(m.nextRenewDelay())
 		}
 	}
@@ -87,13 +87,13 @@
 // announceIfMissing lists the hosts. If this host is not among them, it announces itself
 // and lists them again.
 func (m *membership) announceIfMissing(ctx context.Context) {
-	members := m.list(ctx)
+	members := m.list(ctx, true)
 	m.publish(ctx, members)
 	if slices.Contains(members, m.self) {
 		return
 	}
 	m.announce(ctx)
-	m.publish(ctx, m.list(ctx))
+	m.publish(ctx, m.list(ctx, false))
 }
 
 // publish sends the listed hosts to the control goroutine.
@@ -114,13 +114,19 @@
 	})
 }
 
-// list returns all hosts with a valid entry. If this host is a reader, list also
-// removes stale entries from the store and their hosts from the result.
-func (m *membership) list(ctx context.Context) []reader.Member {
+// list returns all hosts with a valid entry; if mayBeStale is set, as of some seconds ago. If
+// this host is a reader, list also removes stale entries from the store and their hosts from
+// the result.
+func (m *membership) list(ctx context.Context, mayBeStale bool) []reader.Member {
 	var records []platform.Record
 	m.h.retryStoreCall(ctx, "members", func() error {
 		var err error
-		records, _, err = m.h.store.Load().List(ctx, platform.KindHosts)
+		store := m.h.store.Load()
+		if mayBeStale {
+			records, _, err = store.ListStale(ctx, platform.KindHosts)
+			return err
+		}
+		records, _, err = store.List(ctx, platform.KindHosts)
 		return err
 	})
 	var members []reader.Member
--- a/host/reading.go
+++ b/host/reading.go
@@ -46,7 +46,10 @@
 }
 
 // run reads the objects of the kind, until ctx ends, while this host is a reader. If
-// listAtStart is set, it also reads them before that, until the first call succeeds.
+// listAtStart is set, it also lists them before that, until the first call succeeds. The
+// store may answer this list from a copy that is some seconds old, which costs far less:
+// other hosts reply to the Hello of this one with the positions that they know, and the
+// readers among them, or this host if there are none, have newer content.
 // It watches the kind from the catalog's position. It first lists the kind if the
 // catalog has no position of it, or if the store does not have the history since that
 // position.
@@ -54,17 +57,20 @@
 	for ctx.Err() == nil {
 		if !listAtStart && !w.h.isReading.Load() {
 			w.position = catalog.Position{}
+			w.h.storeProbe.release(w.kind)
 			_ = platform.Sleep(ctx, readerPollInterval)
 			continue
 		}
 		if !w.position.IsKnown() && !w.historyGone {
 			w.position = w.knownPosition()
 		}
-		update, err := w.listOrWatch(ctx)
+		mayBeStale := listAtStart && w.failures == 0
+		update, err := w.listOrWatch(ctx, mayBeStale)
 		if err != nil {
 			w.handleError(ctx, err)
 			continue
 		}
+		w.h.storeProbe.succeed()
 		w.failures = 0
 		listAtStart = false
 		select {
@@ -104,21 +110,25 @@
 	if w.failures == 1 && ctx.Err() == nil {
 		w.h.log.WithError(err).WithField("kind", w.kind).Warn("host: store lost")
 	}
-	_ = platform.Sleep(ctx, w.h.backoff.Delay(w.failures))
+	w.h.storeProbe.wait(ctx, w.kind, w.h.backoff.Delay(w.failures))
 }
 
 // listOrWatch watches the kind once, or lists it if there is no position to watch
-// from, and returns the result.
-func (w *storeWatcher) listOrWatch(ctx context.Context) (reader.Update, error) {
+// from, and returns the result. mayBeStale reports whether a list may be some seconds old.
+func (w *storeWatcher) listOrWatch(ctx context.Context, mayBeStale bool) (reader.Update, error) {
 	if !w.position.IsKnown() {
-		return w.list(ctx)
+		return w.list(ctx, mayBeStale)
 	}
 	return w.watch(ctx)
 }
 
 // list reads all objects of the kind. Invalid targets are logged and skipped.
-func (w *storeWatcher) list(ctx context.Context) (reader.Update, error) {
-	records, position, err := w.h.store.Load().List(ctx, w.kind)
+func (w *storeWatcher) list(ctx context.Context, mayBeStale bool) (reader.Update, error) {
+	list := w.h.store.Load().List
+	if mayBeStale {
+		list = w.h.store.Load().ListStale
+	}
+	records, position, err := list(ctx, w.kind)
 	if err != nil {
 		return reader.Update{}, err
 	}
--- a/reader/duty.go
+++ b/reader/duty.go
@@ -28,6 +28,12 @@
 	// update that another host has, before it reads the store itself. In larger groups, it is
 	// longer in proportion to the size, as readers need longer to send an update to all.
 	maxBehind = time.Second
+	// maxTryingHosts is the number of hosts of a group that try to read the store although none
+	// gets a response, at first. If the store refuses a part of the hosts, it is unlikely that
+	// it refuses all of these; if it is down, further hosts would only add calls.
+	maxTryingHosts = 12
+	// tryingHostInterval is the time without a reader after which one more host may try.
+	tryingHostInterval = 500 * time.Millisecond
 	// takeoverTimeout is the time within which a host that has become a reader is expected to
 	// report a response of the store. After it, lower-ranked hosts no longer wait for it.
 	takeoverTimeout = 250 * time.Millisecond
@@ -94,6 +100,9 @@
 	if c.tooFewReadersSince == 0 {
 		c.tooFewReadersSince = now
 	}
+	if otherReaders == 0 && c.isTriedByEnough(now) {
+		return
+	}
 	delay := takeoverDelayFewReaders
 	if otherReaders == 0 {
 		delay = takeoverDelayNoReader
@@ -108,6 +117,19 @@
 	}
 }
 
+// isTriedByEnough reports whether so many hosts try to read the store in vain that one more
+// would not help. The limit rises as long as that lasts.
+func (c *Core) isTriedByEnough(now time.Duration) bool {
+	trying := 0
+	for _, m := range c.group {
+		p := c.peers[m.Name]
+		if p != nil && p.readingSince != 0 && now-p.lastHeartbeatAt < maxMissedHeartbeats*c.heartbeatInterval() {
+			trying++
+		}
+	}
+	return trying >= maxTryingHosts+int((now-c.tooFewReadersSince)/tryingHostInterval)
+}
+
 // startReading makes this host a reader and reports it to the group.
 func (c *Core) startReading(now time.Duration) {
 	c.reading = true
