--- a/host/count.go
+++ b/host/count.go
@@ -21,8 +21,10 @@
 	forwardedPackets, openingPackets, malformedPackets *metrics.Counter
 	// Failed reads and writes of the packet socket.
 	readErrors, writeErrors *metrics.Counter
-	// Bytes of messages sent to other hosts, and failed reads and writes of their socket.
-	messageBytes, messageErrors *metrics.Counter
+	// Bytes of messages sent to other hosts, by messageLabels.
+	messageBytes map[string]*metrics.Counter
+	// Failed reads and writes of the socket of messages.
+	messageErrors *metrics.Counter
 	// Received datagrams that are not valid messages, and messages and load reports that
 	// were dropped because a queue was full.
 	malformedMessages, droppedMessages *metrics.Counter
@@ -80,7 +82,7 @@
 		malformedPackets:  set.NewCounter("wisteriaweir_packets_malformed_total"),
 		readErrors:        set.NewCounter(`wisteriaweir_packet_errors_total{op="read"}`),
 		writeErrors:       set.NewCounter(`wisteriaweir_packet_errors_total{op="write"}`),
-		messageBytes:      set.NewCounter("wisteriaweir_note_bytes_sent_total"),
+		messageBytes:      map[string]*metrics.Counter{},
 		messageErrors:     set.NewCounter("wisteriaweir_note_errors_total"),
 		malformedMessages: set.NewCounter("wisteriaweir_notes_malformed_total"),
 		droppedMessages:   set.NewCounter("wisteriaweir_notes_dropped_total"),
@@ -97,6 +99,9 @@
 		droppedByReason:   map[placement.Reason]*metrics.Counter{},
 		elsewhereByReason: map[placement.Elsewhere]*metrics.Counter{},
 	}
+	for _, kind := range messageLabels {
+		c.messageBytes[kind] = set.NewCounter(`wisteriaweir_note_bytes_sent_total{kind="` + kind + `"}`)
+	}
 	for event, name := range flowEventLabels {
 		c.flowEvents[event] = set.NewCounter(`wisteriaweir_flow_events_total{event="` + name + `"}`)
 	}
@@ -110,6 +115,15 @@
 	return c
 }
 
+// sentBytes returns the bytes of messages sent to other hosts.
+func (c *counters) sentBytes() uint64 {
+	total := uint64(0)
+	for _, sent := range c.messageBytes {
+		total += sent.Get()
+	}
+	return total
+}
+
 // countRejected counts a flow that was reset for the given reason.
 func (c *counters) countRejected(r placement.Reason) {
 	c.rejectedByReason[r].Inc()
--- a/host/host.go
+++ b/host/host.go
@@ -232,7 +232,7 @@
 	err := g.Wait()
 	h.log.WithFields(log.Fields{
 		"after": h.now().String(), "packets": h.counters.forwardedPackets.Get(), "opened": h.counters.openingPackets.Get(),
-		"note_bytes": h.counters.messageBytes.Get(),
+		"note_bytes": h.counters.sentBytes(),
 	}).Info("host: stopped")
 	return err
 }
--- a/host/outbox.go
+++ b/host/outbox.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"wisteriaweir/reader"
 )
 
@@ -22,6 +24,8 @@
 	to   netip.AddrPort
 	kind updateKind
 	data []byte
+	// sent counts the bytes of the messages of the same kind.
+	sent *metrics.Counter
 }
 
 // updateKind distinguishes updates for the send queue: a newer snapshot replaces a
@@ -40,6 +44,32 @@
 	delta
 )
 
+// messageLabels are the label values of the counter of sent bytes.
+var messageLabels = []string{"hello", "heartbeat", "request", "routes", "targets", "evacuations", "load", "lookup"}
+
+// messageLabel returns the element of messageLabels for a message.
+func messageLabel(m reader.Message) string {
+	switch m := m.(type) {
+	case reader.Hello:
+		return "hello"
+	case reader.Heartbeat:
+		return "heartbeat"
+	case reader.UpdateRequest:
+		return "request"
+	case reader.Update:
+		if m.Routes != nil || m.RouteChanges != nil {
+			return "routes"
+		}
+		return "targets"
+	case reader.EvacuationUpdate:
+		return "evacuations"
+	case reader.Load:
+		return "load"
+	default:
+		return "lookup"
+	}
+}
+
 // updateKindOf returns the kind of a message.
 func updateKindOf(m reader.Message) updateKind {
 	u, ok := m.(reader.Update)
@@ -65,9 +95,9 @@
 		c.h.log.WithError(err).Error("host: cannot encode message")
 		return 0
 	}
-	kind := updateKindOf(s.Message)
+	kind, sent := updateKindOf(s.Message), c.h.counters.messageBytes[messageLabel(s.Message)]
 	if len(datagrams) == 1 {
-		c.sendDatagram(queuedDatagram{to: s.To.Address, data: datagrams[0]})
+		c.sendDatagram(queuedDatagram{to: s.To.Address, data: datagrams[0], sent: sent})
 		return len(datagrams[0])
 	}
 	if kind == routesSnapshot || kind == targetsSnapshot {
@@ -77,7 +107,7 @@
 	fragments := make([]queuedDatagram, 0, len(datagrams))
 	for _, b := range datagrams {
 		size += len(b)
-		fragments = append(fragments, queuedDatagram{to: s.To.Address, kind: kind, data: b})
+		fragments = append(fragments, queuedDatagram{to: s.To.Address, kind: kind, data: b, sent: sent})
 	}
 	if kind != delta {
 		c.sendQueue = append(c.sendQueue, fragments...)
@@ -94,7 +124,7 @@
 
 // sendDatagram sends one datagram and counts its bytes.
 func (c *control) sendDatagram(d queuedDatagram) {
-	c.h.counters.messageBytes.Add(len(d.data))
+	d.sent.Add(len(d.data))
 	if _, err := c.conn.WriteToUDPAddrPort(d.data, d.to); err != nil {
 		c.h.counters.messageErrors.Inc()
 	}
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -285,7 +285,7 @@
 	switch advanced := c.apply(delta); {
 	case !advanced:
 		c.reportIgnored(u)
-	case c.mustSend(delta):
+	case c.mustSend(now, delta):
 		c.broadcast(delta)
 	}
 	return c.drainEffects()
