Do not pass on the responses that other hosts report

Hosts took a reported response for one of their own and reported it in turn; as only its age is sent, each delay made it younger, so that targets out of reach seemed to respond for ever.

--- a/placement/evidence.go
+++ b/placement/evidence.go
@@ -107,7 +107,7 @@
 	t := f.target
 	c.recentProgress.add(now)
 	t.lastProgressAt = now
-	c.recordDomainProgress(t, now)
+	c.recordDomainProgress(now, t)
 	if t.stalledFlows > 0 {
 		t.clearStalls()
 	}
@@ -124,7 +124,7 @@
 // response may have been acknowledged without this host's knowledge; see mayMissResponse.
 func (c *Core) recordStall(now time.Duration, f *flow) {
 	t := f.target
-	if now-f.lastSentAt < t.stallThreshold(now) || t.lastProgressAt > f.lastSentAt || c.mayMissResponse(f) {
+	if now-f.lastSentAt < t.stallThreshold(now) || t.lastResponseAt() > f.lastSentAt || c.mayMissResponse(f) {
 		return
 	}
 	if f.stalledGeneration != t.stallGeneration+1 {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -224,8 +224,8 @@
 	recentProgress eventWindow
 	// recentStalls counts the recent stalls on targets that were not dead.
 	recentStalls eventWindow
-	// domainProgressAt holds when a target last responded, and lastResponding that target,
-	// by failure domain.
+	// domainProgressAt holds when a target last responded to any host, and lastResponding the
+	// target that last responded to this one, by failure domain.
 	domainProgressAt map[string]time.Duration
 	lastResponding   map[string]*Target
 	// suspicions are the targets that are considered dead unless the suspicion is refuted,
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -28,6 +28,9 @@
 	// since is when the oldest data of the stalled flows of this host was sent, and newestSince
 	// when the newest was. They are valid if stalledFlows is above 0.
 	since, newestSince time.Duration
+	// respondedElsewhereAt is when the target last responded as far as other hosts have
+	// reported. It is not passed on: ages that are passed on grow younger by each delay.
+	respondedElsewhereAt time.Duration
 	// peerStalls holds the stalls that other hosts have reported, by host name.
 	peerStalls map[string]peerStall
 	// refuteUntil is until when this host reports the last response of the target.
@@ -45,6 +48,11 @@
 	receivedAt time.Duration
 }
 
+// lastResponseAt returns when the target last responded, to this host or another one.
+func (t *Target) lastResponseAt() time.Duration {
+	return max(t.lastProgressAt, t.respondedElsewhereAt)
+}
+
 // peerStallCount returns the number of other hosts that have reported a stall on the target
 // within stallReportTTL, of data that was sent after the last known response.
 func (t *Target) peerStallCount(now time.Duration) int {
@@ -54,7 +62,7 @@
 			delete(t.peerStalls, name)
 			continue
 		}
-		if s.since > t.lastProgressAt {
+		if s.since > t.lastResponseAt() {
 			n++
 		}
 	}
@@ -68,7 +76,7 @@
 		return true
 	}
 	for _, s := range t.peerStalls {
-		if now-s.receivedAt <= stallReportTTL && s.since > max(after, t.lastProgressAt) {
+		if now-s.receivedAt <= stallReportTTL && s.since > max(after, t.lastResponseAt()) {
 			return true
 		}
 	}
@@ -133,11 +141,11 @@
 
 // recordResponseElsewhere records that another host saw a response of t at the given time.
 func (c *Core) recordResponseElsewhere(t *Target, at time.Duration) {
-	c.recordDomainProgress(t, at)
-	if at <= t.lastProgressAt {
+	c.domainProgressAt[t.Domain] = max(c.domainProgressAt[t.Domain], at)
+	if at <= t.lastResponseAt() {
 		return
 	}
-	t.lastProgressAt = at
+	t.respondedElsewhereAt = at
 	if t.stalledFlows == 0 || at <= t.since {
 		return
 	}
@@ -174,12 +182,10 @@
 	t.refuteUntil = now + refutationTTL
 }
 
-// recordDomainProgress records that a target responded at the given time.
-func (c *Core) recordDomainProgress(t *Target, at time.Duration) {
-	if at > c.domainProgressAt[t.Domain] {
-		c.domainProgressAt[t.Domain] = at
-		c.lastResponding[t.Domain] = t
-	}
+// recordDomainProgress records that a target has responded to this host.
+func (c *Core) recordDomainProgress(now time.Duration, t *Target) {
+	c.domainProgressAt[t.Domain] = now
+	c.lastResponding[t.Domain] = t
 }
 
 // judgeDomain decides on all targets of a failure domain on which flows have stalled: new
