Use no content of hosts that send positions without an era

Change: once the catalog has an era, updates without one are ignored, and their senders do not count as readers, so that hosts of this release read the store themselves. The filling-in of eras is removed.

--- a/reader/duty.go
+++ b/reader/duty.go
@@ -80,7 +80,7 @@
 // still receives responses from the store.
 func (c *Core) isFreshReader(now time.Duration, p *peer) bool {
 	heartbeatAge := now - p.lastHeartbeatAt
-	return p.hasHeartbeat && p.heartbeat.IsReading && heartbeatAge < maxMissedHeartbeats*c.heartbeatInterval() && p.heartbeat.StoreAge+heartbeatAge < c.maxReaderStoreAge()
+	return p.hasHeartbeat && p.heartbeat.IsReading && c.isComparableHeartbeat(p.heartbeat) && heartbeatAge < maxMissedHeartbeats*c.heartbeatInterval() && p.heartbeat.StoreAge+heartbeatAge < c.maxReaderStoreAge()
 }
 
 // updateReading starts or stops reading, if either is due. If the group has no reader
@@ -161,7 +161,7 @@
 	own := c.ownPositions()
 	for _, m := range c.group {
 		p := c.peers[m.Name]
-		if p == nil || !p.hasHeartbeat || now-p.lastHeartbeatAt >= maxMissedHeartbeats*c.heartbeatInterval() {
+		if p == nil || !p.hasHeartbeat || now-p.lastHeartbeatAt >= maxMissedHeartbeats*c.heartbeatInterval() || !c.isComparableHeartbeat(p.heartbeat) {
 			continue
 		}
 		if isNewer(p.heartbeat.Positions, own) {
@@ -271,7 +271,7 @@
 func (c *Core) LastConfirmed() (time.Duration, bool) {
 	at, ok := c.storeRespondedAt, c.hasStoreResponse
 	for _, p := range c.peers {
-		if p.hasHeartbeat && p.heartbeat.IsReading && (!ok || p.lastHeartbeatAt-p.heartbeat.StoreAge > at) {
+		if p.hasHeartbeat && p.heartbeat.IsReading && c.isComparableHeartbeat(p.heartbeat) && (!ok || p.lastHeartbeatAt-p.heartbeat.StoreAge > at) {
 			at, ok = p.lastHeartbeatAt-p.heartbeat.StoreAge, true
 		}
 	}
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -245,18 +245,24 @@
 // HandleMessage processes a message from another host.
 func (c *Core) HandleMessage(now time.Duration, from Member, msg Message) []Effect {
 	p := c.peerFor(now, from)
-	switch m := c.withEra(msg).(type) {
+	switch m := msg.(type) {
 	case Hello:
 		c.send(from, c.ownHeartbeat(now))
 	case Heartbeat:
 		p.recordHeartbeat(now, m)
-		c.requestIfBehind(now, p)
+		if c.isComparableHeartbeat(m) {
+			c.requestIfBehind(now, p)
+		}
 	case UpdateRequest:
 		c.sendMissing(from, m)
 	case Update:
-		c.handleUpdate(now, p, m)
+		if c.isComparableUpdate(m) {
+			c.handleUpdate(now, p, m)
+		}
 	case EvacuationUpdate:
-		c.applyEvacuations(now, m)
+		if isComparable(m.Position, c.catalog.EvacuationsPosition()) {
+			c.applyEvacuations(now, m)
+		}
 	case Load, Lookup, Found:
 		// Package placement processes these.
 	}
