--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 all: build
 
 build:
-	$(GO) build -o bin/wisteriaweir .
+	$(GO) build -buildvcs=auto -o bin/wisteriaweir .
 
 # run starts a local system of balancers and then one of entry hosts, runs a load of limited time
 # through each of them and prints a result line for each.
--- a/commands.go
+++ b/commands.go
@@ -7,6 +7,8 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+
+	"wisteriaweir/release"
 )
 
 // Exit codes of every command; the operators' commands have further ones in exit.go.
@@ -44,7 +46,7 @@
 	root := &cli.Command{
 		Name:                  "wisteriaweir",
 		Usage:                 "a layer-4 load balancer for many small entry hosts",
-		Version:               version,
+		Version:               release.Current().String(),
 		EnableShellCompletion: true,
 		Commands:              commands(),
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
--- a/host/control.go
+++ b/host/control.go
@@ -35,6 +35,9 @@
 	// failureReportInterval is the minimum time between two health reports when
 	// requests have failed since the last one.
 	failureReportInterval = 150 * time.Millisecond
+	// unreadableLogInterval is the minimum time between two log lines on messages that cannot
+	// be read. Hosts of a later release may send such messages during an upgrade.
+	unreadableLogInterval = time.Minute
 	// maxQueuedMessages is the capacity of the queue of received messages.
 	maxQueuedMessages = 256
 	// minSpareCPU is the smallest CPU share, as a fraction of one core, with which a host
@@ -309,6 +312,7 @@
 func (h *Host) receiveMessages(ctx context.Context, conn *net.UDPConn, messages chan<- receivedMessage) {
 	decoder := reader.NewDecoder()
 	b := make([]byte, reader.MaxDatagramSize+1)
+	unreadableLoggedAt := time.Duration(0)
 	for ctx.Err() == nil {
 		n, _, err := conn.ReadFromUDPAddrPort(b)
 		if err != nil {
@@ -320,6 +324,10 @@
 		from, message, err := decoder.Decode(b[:n])
 		if err != nil {
 			h.counters.malformedMessages.Inc()
+			if now := h.now(); unreadableLoggedAt == 0 || now-unreadableLoggedAt >= unreadableLogInterval {
+				unreadableLoggedAt = now
+				h.log.WithError(err).WithField("from", from.Name).Warn("host: message of another host ignored, it cannot be read")
+			}
 			continue
 		}
 		if message == nil || from.Name == h.cfg.Settings.Name {
--- a/host/count.go
+++ b/host/count.go
@@ -11,6 +11,7 @@
 	"wisteriaweir/catalog"
 	"wisteriaweir/placement"
 	"wisteriaweir/platform"
+	"wisteriaweir/release"
 )
 
 // counters are the counters and histograms of a host; docs/OPERATIONS.md describes
@@ -153,6 +154,7 @@
 
 // registerGauges registers the metrics whose values are read on each scrape.
 func (h *Host) registerGauges() {
+	h.metrics.NewGauge(`wisteriaweir_build_info{build="`+release.Current().String()+`"}`, func() float64 { return 1 })
 	h.metrics.NewGauge("wisteriaweir_routes_number", func() float64 { return float64(h.currentCatalog.Load().Routes().Number()) })
 	h.metrics.NewGauge("wisteriaweir_store_era", func() float64 { return float64(h.storeEra.Load()) - 1 })
 	h.metrics.NewGauge("wisteriaweir_targets", func() float64 { return float64(len(h.currentCatalog.Load().Targets())) })
--- a/host/dump.go
+++ b/host/dump.go
@@ -7,12 +7,15 @@
 	"wisteriaweir/catalog"
 	"wisteriaweir/placement"
 	"wisteriaweir/reader"
+	"wisteriaweir/release"
 )
 
 // Dump is the state of a host as the monitor serves it for operators.
 type Dump struct {
 	Name   string `json:"name"`
 	Domain string `json:"domain"`
+	// Build is the version of the program and the commit that it was built from.
+	Build string `json:"build"`
 	// Uptime is the time since the start of the process, such as 1m2.345s.
 	Uptime string `json:"uptime"`
 	// Leaving reports whether the host is draining before it stops.
@@ -100,7 +103,7 @@
 func (h *Host) dump(ctx context.Context) any {
 	now, c := h.now(), h.currentCatalog.Load()
 	d := Dump{
-		Name: h.cfg.Settings.Name, Domain: h.cfg.Settings.Domain, Uptime: now.Round(time.Millisecond).String(),
+		Name: h.cfg.Settings.Name, Domain: h.cfg.Settings.Domain, Build: release.Current().String(), Uptime: now.Round(time.Millisecond).String(),
 		Leaving: h.draining.Load(), Reading: h.isReading.Load(), Confirmed: h.catalogAge(now).Round(time.Millisecond).String(),
 		Routes: c.Routes().Number(), RoutesRevision: c.RoutesPosition().Revision, RoutesEra: catalog.EraName(c.RoutesPosition().Era), RoutesSize: c.Routes().Size(),
 		TargetsRevision: c.TargetsPosition().Revision, TargetsEra: catalog.EraName(c.TargetsPosition().Era), EvacuationsRevision: c.EvacuationsPosition().Revision, Isolated: h.isolated.Load(),
--- a/host/host.go
+++ b/host/host.go
@@ -30,6 +30,7 @@
 	"wisteriaweir/placement"
 	"wisteriaweir/platform"
 	"wisteriaweir/reader"
+	"wisteriaweir/release"
 	"wisteriaweir/warmup"
 )
 
@@ -210,7 +211,7 @@
 func (h *Host) Run(ctx context.Context) error {
 	h.log.WithFields(log.Fields{
 		"packets": h.cfg.Settings.PacketAddr, "domain": h.cfg.Settings.Domain, "store": h.cfg.Settings.StoreAddr,
-		"first_start": h.cfg.Settings.IsFirstStart,
+		"first_start": h.cfg.Settings.IsFirstStart, "build": release.Current().String(),
 	}).Info("host: started")
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
