Let hosts of a domain that comes back wait until half of it runs

Change: heartbeats contain the uptime. A host that starts while hosts of other domains have served for 5 s and fewer than half of its own domain's have been heard is not ready, for at most 2.5 s. If all hosts start together, nobody waits.

--- a/host/control.go
+++ b/host/control.go
@@ -155,6 +155,10 @@
 		if paceTimer == nil && len(c.sendQueue) > 0 {
 			paceTimer = time.After(paceInterval)
 		}
+		if awaits := c.core.AwaitsDomain(c.h.now()); awaits != c.h.awaitsDomain.Load() {
+			c.h.awaitsDomain.Store(awaits)
+			c.h.log.WithField("awaits", awaits).Info("host: wait for the other hosts of the failure domain changed")
+		}
 		c.h.domainPeerCount.Store(int32(len(c.core.DomainPeers())))
 		if c.core.IsReading() != c.h.isReading.Load() {
 			c.h.isReading.Store(c.core.IsReading())
--- a/host/count.go
+++ b/host/count.go
@@ -160,7 +160,7 @@
 	h.metrics.NewGauge("wisteriaweir_targets", func() float64 { return float64(len(h.currentCatalog.Load().Targets())) })
 	h.metrics.NewGauge("wisteriaweir_confirmed_age_seconds", func() float64 { return h.catalogAge(h.now()).Seconds() })
 	h.metrics.NewGauge("wisteriaweir_reading", func() float64 { return boolToFloat(h.isReading.Load()) })
-	h.metrics.NewGauge("wisteriaweir_ready", func() float64 { return boolToFloat(!h.draining.Load() && h.currentCatalog.Load().IsComplete()) })
+	h.metrics.NewGauge("wisteriaweir_ready", func() float64 { return boolToFloat(h.isReady()) })
 	h.metrics.NewGauge("wisteriaweir_evacuated_domains", func() float64 { return float64(h.currentCatalog.Load().Evacuations().Size()) })
 	h.metrics.NewGauge("wisteriaweir_evacuated_flows", func() float64 { return float64(h.evacuatedFlows.Load()) })
 	h.metrics.NewGauge("wisteriaweir_evacuated_requests", func() float64 { return float64(h.evacuatedRequests.Load()) })
--- a/host/host.go
+++ b/host/host.go
@@ -135,6 +135,9 @@
 	slowestTarget, fastestTarget atomic.Uint64
 	// isolated reports whether this host is isolated while its failure domain is evacuated.
 	isolated atomic.Bool
+	// awaitsDomain reports whether the host is not ready because its failure domain is just
+	// coming back; see reader.Core.AwaitsDomain.
+	awaitsDomain atomic.Bool
 	// draining reports whether the host is draining before it stops.
 	draining atomic.Bool
 	// lastPacketAt is the time, since the start of the process, at which the last packet
--- a/host/ready.go
+++ b/host/ready.go
@@ -69,10 +69,15 @@
 	return nil
 }
 
-// handleReady responds with status 200 if packets may be sent to this host, and with
-// status 503 if it is draining or its catalog is incomplete.
+// isReady reports whether packets may be sent to this host: it is not draining, its catalog is
+// complete, and it does not wait for the other hosts of its failure domain.
+func (h *Host) isReady() bool {
+	return !h.draining.Load() && h.currentCatalog.Load().IsComplete() && !h.awaitsDomain.Load()
+}
+
+// handleReady responds with status 200 if isReady, and with status 503 otherwise.
 func (h *Host) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if h.draining.Load() || !h.currentCatalog.Load().IsComplete() {
+	if !h.isReady() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/reader/codec.go
+++ b/reader/codec.go
@@ -62,6 +62,7 @@
 		return e.encodeSingle(&readerpb.Note{Body: &readerpb.Note_Beat{Beat: &readerpb.Beat{
 			Routes: m.Routes.Revision, Targets: m.Targets.Revision, Evacuations: m.Evacuations.Revision,
 			Number: m.RoutesNumber, Eras: erasToProto(m.Positions), Reading: m.IsReading, AgeMs: toMilliseconds(m.StoreAge),
+			UptimeMs: toMilliseconds(m.Uptime),
 		}}})
 	case UpdateRequest:
 		return e.encodeSingle(&readerpb.Note{Body: &readerpb.Note_Ask{Ask: &readerpb.Ask{
@@ -183,7 +184,7 @@
 		return from, Hello{}, nil
 	case *readerpb.Note_Beat:
 		w := body.Beat
-		return from, Heartbeat{Positions: positionsFromProto(w.Number, w.Routes, w.Targets, w.Evacuations, w.Eras), IsReading: w.Reading, StoreAge: fromMilliseconds(w.AgeMs)}, nil
+		return from, Heartbeat{Positions: positionsFromProto(w.Number, w.Routes, w.Targets, w.Evacuations, w.Eras), IsReading: w.Reading, StoreAge: fromMilliseconds(w.AgeMs), Uptime: fromMilliseconds(w.UptimeMs)}, nil
 	case *readerpb.Note_Ask:
 		w := body.Ask
 		return from, UpdateRequest{Positions: positionsFromProto(w.Number, w.Routes, w.Targets, w.Evacuations, w.Eras)}, nil
--- a/reader/codec_test.go
+++ b/reader/codec_test.go
@@ -49,7 +49,7 @@
 	table := route.NewTable(9, 15*time.Second, someRoutes(200)).WithWarmups(map[string]route.Warmup{"desk": {Duration: time.Second, Rate: 3}})
 	for _, m := range []reader.Message{
 		reader.Hello{},
-		reader.Heartbeat{Positions: reader.Positions{RoutesNumber: 4, Routes: catalog.Position{Era: 2, Revision: 7}, Targets: at(9), Evacuations: at(8)}, IsReading: true, StoreAge: 1200 * time.Millisecond},
+		reader.Heartbeat{Positions: reader.Positions{RoutesNumber: 4, Routes: catalog.Position{Era: 2, Revision: 7}, Targets: at(9), Evacuations: at(8)}, IsReading: true, StoreAge: 1200 * time.Millisecond, Uptime: time.Hour},
 		reader.UpdateRequest{Positions: reader.Positions{RoutesNumber: 4, Routes: at(3), Targets: catalog.Position{Era: 1, Revision: 4}, Evacuations: catalog.Position{Era: 3, Revision: 5}}},
 		reader.EvacuationUpdate{Position: at(9), Set: evacuation.NewSet("west-a", "west-b")},
 		reader.EvacuationUpdate{Position: at(10), Set: evacuation.NewSet()},
--- a/reader/note.go
+++ b/reader/note.go
@@ -41,6 +41,9 @@
 	IsReading bool
 	// StoreAge is the time since the store last responded to the sender.
 	StoreAge time.Duration
+	// Uptime is the time since the start of the sender's process, 0 if it is of a release that
+	// does not send it.
+	Uptime time.Duration
 }
 
 // UpdateRequest requests everything that is newer than the sender's catalog.
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -27,7 +27,8 @@
 // older copy, and the revision within it. A host never replaces a part by an older one. Of
 // two routing tables of different eras, the one with the higher version number is newer.
 //
-// A Core has no input or output, no clock and no goroutine. It is not safe for
+// A Core has no input or output, no clock and no goroutine: the parameter now of its methods is
+// the time since the start of the process. It is not safe for
 // concurrent use.
 package reader
 
@@ -126,6 +127,8 @@
 	hasHeartbeat    bool
 	// readingSince is when the host began to report that it is a reader, 0 if it does not.
 	readingSince time.Duration
+	// heard reports whether any message was received from the host.
+	heard bool
 	// lastMessageAt is when the last message of any kind was received or, before the
 	// first one, when the host was first listed at its address.
 	lastMessageAt time.Duration
@@ -354,7 +357,7 @@
 		c.peers[m.Name] = p
 		c.updateGroup()
 	}
-	p.lastMessageAt = now
+	p.lastMessageAt, p.heard = now, true
 	return p
 }
 
@@ -362,7 +365,7 @@
 // it, the heartbeat's StoreAge is large enough for the host not to count as a
 // reader.
 func (c *Core) ownHeartbeat(now time.Duration) Heartbeat {
-	h := Heartbeat{Positions: c.ownPositions(), IsReading: c.reading}
+	h := Heartbeat{Positions: c.ownPositions(), IsReading: c.reading, Uptime: now}
 	if c.hasStoreResponse {
 		h.StoreAge = now - c.storeRespondedAt
 	} else {
