--- a/host/count.go
+++ b/host/count.go
@@ -101,7 +101,7 @@
 		elsewhereByReason: map[placement.Elsewhere]*metrics.Counter{},
 	}
 	for _, kind := range messageLabels {
-		c.messageBytes[kind] = set.NewCounter(`wisteriaweir_note_bytes_sent_total{kind="` + kind + `"}`)
+		c.messageBytes[kind] = set.NewCounter(`wisteriaweir_note_bytes_sent_total{message="` + kind + `"}`)
 	}
 	for event, name := range flowEventLabels {
 		c.flowEvents[event] = set.NewCounter(`wisteriaweir_flow_events_total{event="` + name + `"}`)
