--- a/reader/duty.go
+++ b/reader/duty.go
@@ -34,8 +34,8 @@
 	maxTryingHosts = 12
 	// tryingHostInterval is the time without a reader after which one more host may try.
 	tryingHostInterval = 500 * time.Millisecond
-	// maxSmallUpdate is the number of routes up to which a change is small: about four
-	// datagrams, so that it costs little to send it twice.
+	// maxSmallUpdate is the number of routes and targets up to which an update is small: about
+	// four datagrams, so that it costs little to send it twice.
 	maxSmallUpdate = 80
 	// takeoverTimeout is the time within which a host that has become a reader is expected to
 	// report a response of the store. After it, lower-ranked hosts no longer wait for it.
@@ -173,24 +173,30 @@
 
 // mustSend reports whether this host has to send a change of the store to the group. It leaves
 // that to higher-ranked readers if there are enough: after an outage of the store, many hosts
-// read for some seconds. A large change of routes and each change of targets is left to a
-// single one, as hosts that lack it request it after the next heartbeat of any reader. A
-// host that reads to catch up leaves a change to the host that has reported it already: in a
-// large fleet, many may be catching up at once.
+// read for some seconds. A large change is left to a single one, as hosts that lack it request
+// it after the next heartbeat of any reader. A host that reads to catch up leaves a change to
+// the host that has reported it already: in a large fleet, many may be catching up at once.
 func (c *Core) mustSend(now time.Duration, u Update) bool {
 	if !c.reading || c.catchingUp && c.isReported(u) {
 		return false
 	}
 	higherRanked, _, _ := c.countReaders(now)
-	if u.isSmallRouteChange() {
-		return higherRanked < wantedReaders
+	if u.changeCount() > maxSmallUpdate {
+		return higherRanked == 0
 	}
-	return higherRanked == 0
+	return higherRanked < wantedReaders
 }
 
-// isSmallRouteChange reports whether an update changes at most maxSmallUpdate routes.
-func (u Update) isSmallRouteChange() bool {
-	return u.RouteChanges != nil && len(u.RouteChanges.Updated)+len(u.RouteChanges.Removed) <= maxSmallUpdate
+// changeCount returns the number of routes and targets in an update.
+func (u Update) changeCount() int {
+	n := len(u.Targets) + len(u.Changes)
+	if u.Routes != nil {
+		n += u.Routes.Size()
+	}
+	if u.RouteChanges != nil {
+		n += len(u.RouteChanges.Updated) + len(u.RouteChanges.Removed)
+	}
+	return n
 }
 
 // isReported reports whether a heartbeat of another host has shown the content of u.
