--- a/host/event_test.go
+++ b/host/event_test.go
@@ -16,7 +16,7 @@
 // TestEachFlowEventIsCounted guards against an event of placement without a counter, on
 // which the process would end.
 func TestEachFlowEventIsCounted(t *testing.T) {
-	file, err := parser.ParseFile(token.NewFileSet(), "../placement/notice.go", nil, 0)
+	file, err := parser.ParseFile(token.NewFileSet(), "../placement/event.go", nil, 0)
 	qt.Assert(t, err, qt.IsNil)
 	c, events := newCounters(metrics.NewSet()), 0
 	ast.Inspect(file, func(n ast.Node) bool {
