--- a/host/lookup.go
+++ b/host/lookup.go
@@ -60,7 +60,7 @@
 // full.
 func (c *control) queueLookup(m receivedMessage) {
 	select {
-	case c.h.receivedLookups <- receivedLookup{from: m.from, message: m.message}:
+	case c.h.receivedLookups <- receivedLookup(m):
 		c.h.wakeForwarder()
 	default:
 		c.h.counters.droppedMessages.Inc()
--- a/placement/flow.go
+++ b/placement/flow.go
@@ -231,6 +231,9 @@
 		}
 	}
 	c.removeExpiredTargets(now)
+	for _, t := range c.targetsInStartOrder {
+		t.expirePeerStalls(now)
+	}
 	c.sumPeerLoad(now)
 	c.assignSubsets(now)
 	c.updateSpeeds(now)
--- a/placement/health.go
+++ b/placement/health.go
@@ -197,7 +197,7 @@
 	if t.removed && !t.mayBeReadded(now) || t.isReportedDead(now) {
 		return true
 	}
-	return t.stalledFlows+t.peerStallCount(now) >= minDeadStalls || c.isDomainSilent(now, t.Domain)
+	return t.stalledFlows+t.peerStallCount(now, 0) >= minDeadStalls || c.isDomainSilent(now, t.Domain)
 }
 
 // failOver acts on the flows that wait for a response of a dead target: opening
--- a/placement/suspicion.go
+++ b/placement/suspicion.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// stallReportTTL is the age above which a stall that another host has reported is
@@ -53,16 +56,18 @@
 	return max(t.lastProgressAt, t.respondedElsewhereAt)
 }
 
-// peerStallCount returns the number of other hosts that have reported a stall on the target
-// within stallReportTTL, of data that was sent after the last known response.
-func (t *Target) peerStallCount(now time.Duration) int {
+// expirePeerStalls deletes the reports of other hosts that are older than stallReportTTL.
+func (t *Target) expirePeerStalls(now time.Duration) {
+	maps.DeleteFunc(t.peerStalls, func(_ string, s peerStall) bool { return now-s.receivedAt > stallReportTTL })
+}
+
+// peerStallCount returns the number of other hosts that have reported a stall on the target,
+// within stallReportTTL, of data that was sent after the given time and the last response.
+func (t *Target) peerStallCount(now, after time.Duration) int {
+	t.expirePeerStalls(now)
 	n := 0
-	for name, s := range t.peerStalls {
-		if now-s.receivedAt > stallReportTTL {
-			delete(t.peerStalls, name)
-			continue
-		}
-		if s.since > t.lastResponseAt() {
+	for _, s := range t.peerStalls {
+		if s.since > max(after, t.lastResponseAt()) {
 			n++
 		}
 	}
@@ -72,15 +77,8 @@
 // hasStallAfter reports whether data that was sent to the target after the given time got no
 // response, on this host or on one that has reported it within stallReportTTL.
 func (t *Target) hasStallAfter(now, after time.Duration) bool {
-	if t.stalledFlows > 0 && now-t.lastStallAt < stallReportTTL && t.newestSince > after {
-		return true
-	}
-	for _, s := range t.peerStalls {
-		if now-s.receivedAt <= stallReportTTL && s.since > max(after, t.lastResponseAt()) {
-			return true
-		}
-	}
-	return false
+	stalledHere := t.stalledFlows > 0 && now-t.lastStallAt < stallReportTTL && t.newestSince > after
+	return stalledHere || t.peerStallCount(now, after) > 0
 }
 
 // isDomainSilent reports whether flows have stalled on several targets of a failure domain
