--- a/placement/health.go
+++ b/placement/health.go
@@ -184,9 +184,9 @@
 	t.suspectUntil = now + suspectDuration
 }
 
-// isDead decides whether a target responds to no flow. One stalled flow is enough
-// for a target that was removed from the catalog or that another host has reported
-// dead.
+// isDead decides whether a target responds to no flow, by the stalled flows of this host and
+// of its domain peers. One stalled flow of this host is enough for a target that was removed
+// from the catalog, that another host has reported dead, or whose failure domain is silent.
 func (c *Core) isDead(now time.Duration, t *Target) bool {
 	if c.recentProgress.countWithin(now, selfCheckWindow) < c.recentStalls.countWithin(now, selfCheckWindow) {
 		return false
--- a/soak/process.go
+++ b/soak/process.go
@@ -179,3 +179,13 @@
 	defer p.mu.Unlock()
 	return p.cmd.ProcessState.ExitCode()
 }
+
+// MakeDir creates an empty directory for a run of the given seed below root, removing
+// the one of an earlier run, and returns its path.
+func MakeDir(root string, seed uint64) (string, error) {
+	dir := filepath.Join(root, fmt.Sprintf("seed-%d", seed))
+	if err := os.RemoveAll(dir); err != nil {
+		return "", err
+	}
+	return dir, os.MkdirAll(dir, 0o755)
+}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -22,7 +22,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -390,13 +389,3 @@
 		}
 	}
 }
-
-// MakeDir creates an empty directory for a run of the given seed below root, removing
-// the one of an earlier run, and returns its path.
-func MakeDir(root string, seed uint64) (string, error) {
-	dir := filepath.Join(root, fmt.Sprintf("seed-%d", seed))
-	if err := os.RemoveAll(dir); err != nil {
-		return "", err
-	}
-	return dir, os.MkdirAll(dir, 0o755)
-}
