Count a list as complete only for the revision of its oldest page

Cause: a list is one call for each page, and with allow_stale each page may show another state of the store. The list took the revision of its first page. If that page was current and a later one seconds old, the host counted its targets as known up to a revision whose changes it lacked: as a reader it watched from behind the missed change, and as another host it requested nothing, since no heartbeat showed a newer revision. Hosts with an older revision took the content over.

Change: the position of a list is that of its oldest page, in both clients of the store (a Listing joins the pages). Changes after it come by the watch or by an update of another host, and are ignored where an entry is newer. A log line shows each list with its oldest and newest position, a counter lists with pages of different age. It costs no call: the watch starts some seconds earlier.

The fake platform has lists whose pages differ in age.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -166,17 +166,30 @@
 }
 
 // WithTargets returns c with all targets replaced. It returns c unchanged if position
-// is not later than that of c's own targets.
+// is not later than that of c's own targets. An entry of c stays if it is later than the
+// given one, or than position if none is given: c may contain later changes than its own
+// position says, as a list does whose pages show different states of the store.
 func (c Catalog) WithTargets(targets []Target, position Position) Catalog {
 	if !position.After(c.targetsPosition) {
 		return c
 	}
+	previous := c.targets
 	c.targets = make(map[string]Target, len(targets))
-	c.targetsSum = 0
+	for id, t := range previous {
+		if t.Position.After(position) {
+			c.targets[id] = t
+		}
+	}
 	for _, t := range targets {
-		c.targetsSum += t.digest() - digestOf(c.targets, t.ID)
+		if known, ok := previous[t.ID]; ok && known.Position.After(t.Position) {
+			t = known
+		}
 		c.targets[t.ID] = t
 	}
+	c.targetsSum = 0
+	for _, t := range c.targets {
+		c.targetsSum += t.digest()
+	}
 	c.targetsPosition = position
 	return c
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -43,6 +43,24 @@
 	qt.Assert(t, c.TargetsPosition(), qt.Equals, at(12))
 }
 
+// TestEntriesStayInLaterSnapshot guards against a drained target that gets new flows again,
+// because a snapshot replaces its entry by an older one. The entry is newer than the position
+// of the catalog, or the host that sent the snapshot counts it as newer than it is.
+func TestEntriesStayInLaterSnapshot(t *testing.T) {
+	draining := target("a", 12)
+	draining.Draining = true
+	c := catalog.Catalog{}.WithTargets([]catalog.Target{draining, target("b", 5), target("new", 13)}, at(10))
+	c = c.WithTargets([]catalog.Target{target("a", 5), target("c", 11)}, at(11))
+	a, _ := c.Target("a")
+	qt.Assert(t, a, qt.Equals, draining)
+	qt.Assert(t, c.Targets(), qt.HasLen, 3)
+	_, ok := c.Target("b")
+	qt.Assert(t, ok, qt.IsFalse)
+	qt.Assert(t, c.TargetsDigest(), qt.Equals, catalog.Catalog{}.WithTargets([]catalog.Target{draining, target("c", 11), target("new", 13)}, at(13)).TargetsDigest())
+	c = c.WithTargets([]catalog.Target{target("c", 11)}, at(14))
+	qt.Assert(t, c.Targets(), qt.HasLen, 1)
+}
+
 // TestEvacuations guards against a set of evacuations that goes back to an older one, and
 // against a catalog that is complete before the evacuations are known, so that a host that
 // starts would send flows to an evacuated failure domain.
--- a/catalog/position.go
+++ b/catalog/position.go
@@ -51,3 +51,11 @@
 	}
 	return p
 }
+
+// Earlier returns the earlier one of two positions.
+func Earlier(p, o Position) Position {
+	if p.After(o) {
+		return o
+	}
+	return p
+}
--- a/fake/platform.go
+++ b/fake/platform.go
@@ -38,6 +38,13 @@
 	// HostLag is how long after a change of an object a list with allow_stale=1 still
 	// returns the previous state.
 	HostLag time.Duration
+	// PageObjects is the maximum number of objects in a page of a list; 0 means
+	// maxPageObjects.
+	PageObjects int
+	// PageLag, if set, returns how old the state is that a page of a list with
+	// allow_stale=1 shows. The page has the objects of a kind whose names are after a name.
+	// It names the revision of that state.
+	PageLag func(kind, after string) time.Duration
 	// EntryTTL is the time since its last write after which a target's entry is
 	// removed; 0 means never.
 	EntryTTL time.Duration
@@ -69,6 +76,8 @@
 	compactedRevision uint64
 	// calls counts the calls by the name that callName returns.
 	calls map[string]int
+	// snapshots holds the former content by kind, oldest first, if cfg.PageLag is set.
+	snapshots map[string][]snapshot
 	// changed is closed, and replaced, when watches have to check for changes.
 	changed chan struct{}
 }
@@ -108,16 +117,20 @@
 
 // NewPlatform returns an empty platform.
 func NewPlatform(cfg PlatformConfig) *Platform {
+	if cfg.PageObjects == 0 {
+		cfg.PageObjects = maxPageObjects
+	}
 	p := &Platform{
-		cfg:      cfg,
-		mux:      http.NewServeMux(),
-		faults:   cfg.Faults,
-		rng:      rand.New(rand.NewPCG(cfg.Seed, 0)),
-		era:      initialEra,
-		revision: 1,
-		objects:  map[string]map[string]*storedObject{},
-		calls:    map[string]int{},
-		changed:  make(chan struct{}),
+		cfg:       cfg,
+		mux:       http.NewServeMux(),
+		faults:    cfg.Faults,
+		rng:       rand.New(rand.NewPCG(cfg.Seed, 0)),
+		era:       initialEra,
+		revision:  1,
+		objects:   map[string]map[string]*storedObject{},
+		calls:     map[string]int{},
+		snapshots: map[string][]snapshot{},
+		changed:   make(chan struct{}),
 	}
 	p.mux.HandleFunc("GET /api/objects/{kind}", p.withFaults(p.list))
 	p.mux.HandleFunc("POST /api/objects/{kind}", p.withFaults(p.create))
@@ -229,33 +242,48 @@
 		p.watch(w, r)
 		return
 	}
-	after, lag := r.URL.Query().Get("after"), time.Duration(0)
-	if r.URL.Query().Get("allow_stale") == "1" {
+	kind, after := r.PathValue("kind"), r.URL.Query().Get("after")
+	isStale := r.URL.Query().Get("allow_stale") == "1"
+	now, lag := time.Now(), time.Duration(0)
+	if isStale {
 		lag = p.cfg.HostLag
 	}
-	now := time.Now()
 	p.mu.Lock()
 	result := page{Items: []object{}, Revision: p.revision}
-	objects := p.objects[r.PathValue("kind")]
-	for _, name := range slices.Sorted(maps.Keys(objects)) {
-		o := objects[name].listedState(now, lag)
-		if name <= after || o.Meta.Revision == 0 {
+	objects := p.sortedObjects(kind, now, lag)
+	if isStale && p.cfg.PageLag != nil {
+		objects, result.Revision = p.contentAt(kind, now.Add(-p.cfg.PageLag(kind, after)))
+	}
+	p.mu.Unlock()
+	for _, o := range objects {
+		if o.Meta.Name <= after {
 			continue
 		}
-		if len(result.Items) == maxPageObjects {
+		if len(result.Items) == p.cfg.PageObjects {
 			result.More = true
 			break
 		}
 		result.Items = append(result.Items, o)
 	}
-	p.mu.Unlock()
 	writeJSON(w, http.StatusOK, result)
 }
 
+// sortedObjects returns the objects of a kind in the order of names, in the states for a list
+// that lags by lag. The caller holds mu.
+func (p *Platform) sortedObjects(kind string, now time.Time, lag time.Duration) []object {
+	var objects []object
+	for _, name := range slices.Sorted(maps.Keys(p.objects[kind])) {
+		if o := p.objects[kind][name].listedState(now, lag); o.Meta.Revision != 0 {
+			objects = append(objects, o)
+		}
+	}
+	return objects
+}
+
 // listedState returns the state for a list that lags by lag: the previous state if
 // the last change is less than lag ago, otherwise the current one.
 func (s *storedObject) listedState(now time.Time, lag time.Duration) object {
-	if now.Sub(s.changedAt) < lag {
+	if lag > 0 && now.Sub(s.changedAt) < lag {
 		return s.previous
 	}
 	return s.current
--- a/fake/platform_write.go
+++ b/fake/platform_write.go
@@ -111,6 +111,7 @@
 // so that stale lists return it for the whole HostLag. The caller holds mu.
 func (p *Platform) save(kind string, s *storedObject, o object) {
 	now := time.Now()
+	p.keepSnapshot(kind)
 	p.revision++
 	o.Meta.Revision = p.revision
 	if o.Meta.Created == 0 {
@@ -148,6 +149,7 @@
 
 // delete removes an object under a new revision. The caller holds mu.
 func (p *Platform) delete(kind string, s *storedObject) {
+	p.keepSnapshot(kind)
 	p.revision++
 	o := s.current
 	o.Meta.Revision = p.revision
--- a/host/count.go
+++ b/host/count.go
@@ -33,6 +33,8 @@
 	ignoredUpdates *metrics.Counter
 	// Times that the catalog has reached a new era of the store.
 	restores *metrics.Counter
+	// Lists whose pages show different states of the store.
+	unevenLists *metrics.Counter
 	// Deltas of other hosts that were computed from other content than the catalog's.
 	mismatchedDeltas *metrics.Counter
 	// Stamps that other hosts were asked for.
@@ -89,6 +91,7 @@
 		droppedMessages:   set.NewCounter("wisteriaweir_notes_dropped_total"),
 		ignoredUpdates:    set.NewCounter("wisteriaweir_store_updates_ignored_total"),
 		restores:          set.NewCounter("wisteriaweir_store_restores_total"),
+		unevenLists:       set.NewCounter("wisteriaweir_store_lists_uneven_total"),
 		mismatchedDeltas:  set.NewCounter("wisteriaweir_deltas_mismatched_total"),
 		lookups:           set.NewCounter("wisteriaweir_target_lookups_total"),
 		openingSeconds:    set.NewHistogram("wisteriaweir_opening_seconds"),
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -296,10 +296,10 @@
 		start(t, host.Config{Settings: settings, Seed: uint64(i), RenewInterval: 300 * time.Millisecond})
 	}
 	names := func() string {
-		records, _, err := store.List(ctx, platform.KindHosts)
+		listing, err := store.List(ctx, platform.KindHosts)
 		qt.Assert(t, err, qt.IsNil)
 		var all []string
-		for _, r := range records {
+		for _, r := range listing.Records {
 			all = append(all, r.Name)
 		}
 		return strings.Join(all, " ")
--- a/host/members.go
+++ b/host/members.go
@@ -118,20 +118,20 @@
 // this host is a reader, list also removes stale entries from the store and their hosts from
 // the result.
 func (m *membership) list(ctx context.Context, mayBeStale bool) []reader.Member {
-	var records []platform.Record
+	var listing platform.Listing
 	m.h.retryStoreCall(ctx, "members", func() error {
 		var err error
 		store := m.h.store.Load()
 		if mayBeStale {
-			records, _, err = store.ListStale(ctx, platform.KindHosts)
+			listing, err = store.ListStale(ctx, platform.KindHosts)
 			return err
 		}
-		records, _, err = store.List(ctx, platform.KindHosts)
+		listing, err = store.List(ctx, platform.KindHosts)
 		return err
 	})
 	var members []reader.Member
-	entries := make([]reader.HostEntry, 0, len(records))
-	for _, r := range records {
+	entries := make([]reader.HostEntry, 0, len(listing.Records))
+	for _, r := range listing.Records {
 		entries = append(entries, reader.HostEntry{Name: r.Name, Position: r.Position()})
 		spec, addr, err := platform.ParseHost(r)
 		if err != nil {
--- a/host/reading.go
+++ b/host/reading.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/apex/log"
+
 	"wisteriaweir/catalog"
 	"wisteriaweir/evacuation"
 	"wisteriaweir/platform"
@@ -128,12 +130,13 @@
 	if mayBeStale {
 		list = w.h.store.Load().ListStale
 	}
-	records, position, err := list(ctx, w.kind)
+	listing, err := list(ctx, w.kind)
 	if err != nil {
 		return reader.Update{}, err
 	}
-	w.position, w.historyGone = position, false
-	update := reader.Update{Position: position}
+	w.position, w.historyGone = listing.Position, false
+	w.recordListing(listing, mayBeStale)
+	records, update := listing.Records, reader.Update{Position: listing.Position}
 	switch w.kind {
 	case platform.KindConfig:
 		for _, r := range records {
@@ -157,6 +160,16 @@
 	return update, nil
 }
 
+// recordListing logs a list, and counts it if its pages show different states of the store.
+func (w *storeWatcher) recordListing(l platform.Listing, mayBeStale bool) {
+	if l.Newest != l.Position {
+		w.h.counters.unevenLists.Inc()
+	}
+	w.h.log.WithFields(log.Fields{
+		"kind": w.kind, "stale": mayBeStale, "objects": len(l.Records), "pages": l.Pages, "position": l.Position.String(), "newest": l.Newest.String(),
+	}).Info("host: objects listed")
+}
+
 // watch waits for changes of the kind, and returns the newest one of each object.
 // The position of the result is that of the newest change, so that all readers
 // publish the same change under the same position.
--- a/host/restore_test.go
+++ b/host/restore_test.go
@@ -98,9 +98,9 @@
 	s := newRestoreSystem(t, 151)
 	ctx := context.Background()
 	names := func() int {
-		records, _, err := platform.NewStore(platform.StoreConfig{URL: s.system.store.URL}).List(ctx, platform.KindHosts)
+		listing, err := platform.NewStore(platform.StoreConfig{URL: s.system.store.URL}).List(ctx, platform.KindHosts)
 		qt.Assert(t, err, qt.IsNil)
-		return len(records)
+		return len(listing.Records)
 	}
 	await(t, "entries of the hosts", func() bool { return names() == len(s.settings) })
 	s.restore(s.beforeHosts)
