Let an element that cannot be decoded cost only itself

Here, shown with two host processes beside the fake store: after an entry nested 20,000 levels deep no host followed the store any more. Targets and configurations written later were not used, and a host that started after it never became ready. TestOddEntriesCostThemselvesAlone failed with "host-1 has routes 3, want 3, and 6 targets, want 5" for an entry with slots, which overflows in messages between hosts, and stopped at the deep one. No process ended.

Cause: a page of a list, a watch and a configuration were decoded as a whole. The decoder refuses nesting beyond 10,000 levels, wherever it is, and one value of a wrong type is an error of the whole. Other values were accepted and overflowed later: warmup_left_ms and the durations of the configuration in their conversion, slots in messages between hosts, so that digests of the targets differed for good.

Change: responses are divided into their elements without decoding them, by a scanner that does not recurse, and each element is decoded alone. Values out of range make their element invalid: ports, addresses that are no single process, durations above 30 days, slots, weights, priorities, names of more than 256 bytes. A response that is cut off is still no list. An invalid optional setting has its default instead of ending the start; an invalid bound of evacuations counts as a platform with evacuations. Each invalid element is counted by source and logged in at most 10 lines a minute, shortened.

Tests: the one above; TestOddElementOfList, TestIncompleteResponse, TestPageWithoutName, TestParseConfigSkipsInvalidElements, TestInvalidSettingCostsItselfAlone; FuzzList and FuzzWatch. Two checks asked for the contrary of the rule and are replaced: TestParseConfigRefuses expected a configuration to be refused for one service (now the service is skipped and reported, and the test refuses two other configurations), and TestParseSettingsBounds expected the start to fail for one optional setting (now each of these values must be reported and its default must apply).

--- a/cmd_host.go
+++ b/cmd_host.go
@@ -83,7 +83,7 @@
 
 func runHost(ctx context.Context, cmd *cli.Command) error {
 	debug.SetGCPercent(heapGrowthPercent)
-	settings, err := platform.ReadSettings(cmd.String("settings"))
+	settings, ignored, err := platform.ReadSettings(cmd.String("settings"))
 	if err != nil {
 		return err
 	}
@@ -106,6 +106,7 @@
 	cfg := host.Config{
 		Settings:        settings,
 		SettingsPath:    cmd.String("settings"),
+		IgnoredSettings: ignored,
 		Log:             logger.WithField("host", settings.Name),
 		Seed:            rand.Uint64(),
 		HostsPerTarget:  cmd.Int("hosts-per-target"),
--- a/fake/platform.go
+++ b/fake/platform.go
@@ -76,6 +76,8 @@
 	compactedRevision uint64
 	// calls counts the calls by the name that callName returns.
 	calls map[string]int
+	// rawSpecs holds the specs of PutRaw by the JSON string that stands for them.
+	rawSpecs map[string][]byte
 	// snapshots holds the former content by kind, oldest first, if cfg.PageLag is set.
 	snapshots map[string][]snapshot
 	// changed is closed, and replaced, when watches have to check for changes.
@@ -129,6 +131,7 @@
 		revision:  1,
 		objects:   map[string]map[string]*storedObject{},
 		calls:     map[string]int{},
+		rawSpecs:  map[string][]byte{},
 		snapshots: map[string][]snapshot{},
 		changed:   make(chan struct{}),
 	}
@@ -225,7 +228,7 @@
 		http.Error(w, "no such object", http.StatusNotFound)
 		return
 	}
-	writeJSON(w, http.StatusOK, o)
+	p.writeObjects(w, o)
 }
 
 // page is one page of a list.
@@ -265,7 +268,7 @@
 		}
 		result.Items = append(result.Items, o)
 	}
-	writeJSON(w, http.StatusOK, result)
+	p.writeObjects(w, result)
 }
 
 // sortedObjects returns the objects of a kind in the order of names, in the states for a list
--- a/fake/platform_watch.go
+++ b/fake/platform_watch.go
@@ -49,7 +49,7 @@
 	if events == nil {
 		events = []change{}
 	}
-	writeJSON(w, http.StatusOK, struct {
+	p.writeObjects(w, struct {
 		Events   []change `json:"events"`
 		Revision uint64   `json:"store_revision"`
 	}{events, revision})
--- a/host/count_test.go
+++ b/host/count_test.go
@@ -25,6 +25,7 @@
 	c.openingSeconds.Update(1)
 	c.requestSeconds.Update(1)
 	c.waitSeconds.Update(1)
+	newInvalidElements(set, nil, nil)
 	h := &Host{metrics: set, counters: c, cfg: Config{DroppedLogLines: func() int64 { return 0 }}}
 	h.registerGauges()
 	var b bytes.Buffer
--- a/host/host.go
+++ b/host/host.go
@@ -58,6 +58,9 @@
 	// RenewInterval is the mean time between two renewals of the host's entry in the
 	// store. 0 means ten minutes.
 	RenewInterval time.Duration
+	// IgnoredSettings has an error for each optional setting that is invalid, so that its
+	// default applies. They are logged.
+	IgnoredSettings []error
 	// SharedAdmission selects the services that have an admission level, which the hosts of
 	// a failure domain share; see package admission.
 	SharedAdmission placement.SharedAdmission
@@ -75,6 +78,8 @@
 	backoff    *platform.Backoff
 	metrics    *metrics.Set
 	counters   *counters
+	// invalid counts and logs invalid elements that other programs have written.
+	invalid *invalidElements
 
 	// settings are the settings as last read. Only their store address is used after the
 	// start; everything else is read from cfg.Settings.
@@ -190,6 +195,7 @@
 		outgoingReplies: make(chan reader.Send, maxQueuedLookups),
 		receivedLookups: make(chan receivedLookup, maxQueuedLookups),
 	}
+	h.invalid = newInvalidElements(set, cfg.Log, h.now)
 	h.backoff = platform.NewBackoff(platform.BackoffConfig{InitialDelay: initialRetryDelay, MaxDelay: maxRetryDelay, Seed: cfg.Seed})
 	h.settings.Store(&cfg.Settings)
 	h.store.Store(h.newStore(cfg.Settings.StoreAddr))
@@ -216,6 +222,7 @@
 		"packets": h.cfg.Settings.PacketAddr, "domain": h.cfg.Settings.Domain, "store": h.cfg.Settings.StoreAddr,
 		"first_start": h.cfg.Settings.IsFirstStart, "build": release.Current().String(),
 	}).Info("host: started")
+	h.invalid.reportAll(settingSource, invalidSettingMessage, h.cfg.IgnoredSettings)
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	g, workCtx := errgroup.WithContext(workCtx)
--- a/host/host_test.go
+++ b/host/host_test.go
@@ -264,7 +264,7 @@
 		qt.Assert(t, os.WriteFile(path, []byte(text), 0o600), qt.IsNil)
 	}
 	write("127.0.0.1:1")
-	settings, err := platform.ReadSettings(path)
+	settings, _, err := platform.ReadSettings(path)
 	qt.Assert(t, err, qt.IsNil)
 	start(t, host.Config{Settings: settings, SettingsPath: path, Seed: 1})
 	await(t, "a response", func() bool { return status(t, settings) == http.StatusServiceUnavailable })
--- a/host/members.go
+++ b/host/members.go
@@ -26,6 +26,9 @@
 	renewJitterDivisor = 10
 )
 
+// invalidHostMessage is the message of the log line about an invalid entry of a host.
+const invalidHostMessage = "host: invalid host entry skipped"
+
 // membership maintains this host's entry in the store and lists the other hosts.
 type membership struct {
 	h *Host
@@ -129,13 +132,14 @@
 		listing, err = store.List(ctx, platform.KindHosts)
 		return err
 	})
+	m.h.invalid.reportAll(hostSource, invalidHostMessage, listing.Invalid)
 	var members []reader.Member
 	entries := make([]reader.HostEntry, 0, len(listing.Records))
 	for _, r := range listing.Records {
 		entries = append(entries, reader.HostEntry{Name: r.Name, Position: r.Position()})
 		spec, addr, err := platform.ParseHost(r)
 		if err != nil {
-			m.h.log.WithError(err).Warn("host: invalid host entry skipped")
+			m.h.invalid.report(hostSource, invalidHostMessage, err)
 			continue
 		}
 		members = append(members, reader.Member{Name: r.Name, Domain: spec.Domain, Address: addr, HasSpareCapacity: spec.HasSpareCapacity})
--- a/host/reading.go
+++ b/host/reading.go
@@ -124,7 +124,7 @@
 	return w.watch(ctx)
 }
 
-// list reads all objects of the kind. Invalid targets are logged and skipped.
+// list reads all objects of the kind. Invalid ones are reported and skipped.
 func (w *storeWatcher) list(ctx context.Context, mayBeStale bool) (reader.Update, error) {
 	list := w.h.store.Load().List
 	if mayBeStale {
@@ -136,28 +136,60 @@
 	}
 	w.position, w.historyGone = listing.Position, false
 	w.recordListing(listing, mayBeStale)
-	records, update := listing.Records, reader.Update{Position: listing.Position}
+	w.reportInvalid(listing.Invalid...)
+	update := reader.Update{Position: listing.Position}
 	switch w.kind {
 	case platform.KindConfig:
-		for _, r := range records {
+		for _, r := range listing.Records {
 			w.addRoutes(r, &update)
 		}
-		return update, nil
 	case platform.KindEvacuations:
-		set := evacuation.NewSet(recordNames(records)...)
+		set := evacuation.NewSet(w.parseEvacuations(listing.Records)...)
 		update.Evacuations = &set
-		return update, nil
+	default:
+		update.HasAllTargets, update.Targets = true, w.parseTargets(listing.Records)
 	}
-	update.HasAllTargets = true
+	return update, nil
+}
+
+// parseTargets returns the targets of entries without the invalid ones.
+func (w *storeWatcher) parseTargets(records []platform.Record) []catalog.Target {
+	var targets []catalog.Target
 	for _, r := range records {
 		t, err := platform.ParseTarget(r)
 		if err != nil {
-			w.h.log.WithError(err).Warn("host: invalid target entry skipped")
+			w.reportInvalid(err)
 			continue
 		}
-		update.Targets = append(update.Targets, t)
+		targets = append(targets, t)
+	}
+	return targets
+}
+
+// parseEvacuations returns the failure domains of evacuations without the invalid ones.
+func (w *storeWatcher) parseEvacuations(records []platform.Record) []string {
+	var domains []string
+	for _, r := range records {
+		domain, err := platform.ParseEvacuation(r)
+		if err != nil {
+			w.reportInvalid(err)
+			continue
+		}
+		domains = append(domains, domain)
+	}
+	return domains
+}
+
+// reportInvalid reports invalid objects of the kind.
+func (w *storeWatcher) reportInvalid(errs ...error) {
+	switch w.kind {
+	case platform.KindConfig:
+		w.h.invalid.reportAll(configSource, "host: invalid configuration ignored", errs)
+	case platform.KindEvacuations:
+		w.h.invalid.reportAll(evacuationSource, "host: invalid evacuation ignored", errs)
+	default:
+		w.h.invalid.reportAll(targetSource, "host: invalid target entry skipped", errs)
 	}
-	return update, nil
 }
 
 // recordListing logs a list, and counts it if its pages show different states of the store.
@@ -174,14 +206,15 @@
 // The position of the result is that of the newest change, so that all readers
 // publish the same change under the same position.
 func (w *storeWatcher) watch(ctx context.Context) (reader.Update, error) {
-	events, next, err := w.h.store.Load().Watch(ctx, w.kind, w.position, watchTimeout)
+	changes, err := w.h.store.Load().Watch(ctx, w.kind, w.position, watchTimeout)
 	if err != nil {
 		return reader.Update{}, err
 	}
-	w.position = catalog.Later(next, w.position)
+	w.position = catalog.Later(changes.Position, w.position)
+	w.reportInvalid(changes.Invalid...)
 	update := reader.Update{}
 	newest := map[string]platform.Event{}
-	for _, e := range events {
+	for _, e := range changes.Events {
 		newest[e.Record.Name] = e
 		update.Position = catalog.Later(update.Position, e.Record.Position())
 	}
@@ -190,7 +223,9 @@
 		case platform.KindConfig:
 			w.addRoutes(e.Record, &update)
 		case platform.KindEvacuations:
-			update.EvacuationChanges = append(update.EvacuationChanges, evacuation.Change{Domain: e.Record.Name, Withdrawn: e.Removed})
+			for _, domain := range w.parseEvacuations([]platform.Record{e.Record}) {
+				update.EvacuationChanges = append(update.EvacuationChanges, evacuation.Change{Domain: domain, Withdrawn: e.Removed})
+			}
 		default:
 			update.Changes = append(update.Changes, w.parseChange(e))
 		}
@@ -198,15 +233,6 @@
 	return update, nil
 }
 
-// recordNames returns the names of objects.
-func recordNames(records []platform.Record) []string {
-	names := make([]string, 0, len(records))
-	for _, r := range records {
-		names = append(names, r.Name)
-	}
-	return names
-}
-
 // usesEvacuations reports whether the platform has evacuations.
 func (h *Host) usesEvacuations() bool {
 	return h.cfg.Settings.EvacuationBound > 0
@@ -220,7 +246,7 @@
 	}
 	t, err := platform.ParseTarget(e.Record)
 	if err != nil {
-		w.h.log.WithError(err).Warn("host: invalid target entry skipped")
+		w.reportInvalid(err)
 		return removed
 	}
 	return catalog.Change{Target: t}
@@ -234,11 +260,9 @@
 	}
 	t, skipped, err := platform.ParseConfig(r)
 	if err != nil {
-		w.h.log.WithError(err).Warn("host: invalid configuration ignored")
+		w.reportInvalid(err)
 		return
 	}
-	for _, err := range skipped {
-		w.h.log.WithError(err).Warn("host: invalid route skipped")
-	}
+	w.h.invalid.reportAll(configSource, "host: invalid element of the configuration skipped", skipped)
 	update.Routes, update.Position = &t, r.Position()
 }
--- a/host/reload.go
+++ b/host/reload.go
@@ -14,6 +14,9 @@
 // platform may change it without sending a signal.
 const settingsPollInterval = 3 * time.Second
 
+// invalidSettingMessage is the message of the log line about an invalid setting.
+const invalidSettingMessage = "host: invalid setting ignored, its default applies"
+
 // watchSettings reloads the settings whenever their file changes, until ctx ends.
 func (h *Host) watchSettings(ctx context.Context) error {
 	last := h.statSettings()
@@ -49,11 +52,12 @@
 	if h.cfg.SettingsPath == "" {
 		return
 	}
-	settings, err := platform.ReadSettings(h.cfg.SettingsPath)
+	settings, ignored, err := platform.ReadSettings(h.cfg.SettingsPath)
 	if err != nil {
 		h.log.WithError(err).Warn("host: invalid settings ignored, previous settings remain active")
 		return
 	}
+	h.invalid.reportAll(settingSource, invalidSettingMessage, ignored)
 	previous := h.settings.Swap(&settings)
 	h.log.WithFields(log.Fields{"changed": settings != *previous, "path": h.cfg.SettingsPath}).Info("host: settings reloaded")
 	if settings.StoreAddr != previous.StoreAddr {
--- a/host/stale_test.go
+++ b/host/stale_test.go
@@ -43,7 +43,9 @@
 
 	drained := s.lastTarget()
 	s.environment.Drain(drained)
-	await(t, "drain", func() bool { return s.targetState(t, 0, drained) == drainingState && s.targetState(t, 1, drained) == drainingState })
+	await(t, "drain", func() bool {
+		return s.targetState(t, 0, drained) == drainingState && s.targetState(t, 1, drained) == drainingState
+	})
 	qt.Assert(t, s.environment.Configure(ctx), qt.IsNil) // The store's revision rises.
 	start(t, host.Config{Settings: s.settings[2], Seed: 2, MonitorAddr: s.monitorAddr(2)})
 	await(t, "ready", func() bool { return status(t, s.settings[2]) == http.StatusOK })
