Let an invalid element of a message cost only itself

Messages between hosts: a target or route of another host was used whatever its values were. Ports wrapped around (65979 became 443, the address of another route or process), slots, weights and priorities had no limit, a level that is no number went into the sums of the admission. TestDecodeInvalidElements on the code before: 9 targets of 9 accepted, 8 of them invalid.

Cause: the decoder converted values without checking their ranges.

Change: an element with a missing field or a value out of range is skipped, counted (wisteriaweir_invalid_elements_total{source="message"}) and logged within the limit of lines; the rest of the message is used. Datagrams that are no packets are logged too, one a minute. Nothing changes on the wire.

TestOddDatagramsCostThemselvesAlone sends odd datagrams to a host process: no process ended before either, but the packets had no log line and there was no count by source.

--- a/entries_test.go
+++ b/entries_test.go
@@ -1,13 +1,18 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -142,6 +147,69 @@
 	}
 }
 
+// metric returns the value of a metric of a host, counted from 1.
+func (s *entrySystem) metric(i int, name string) float64 {
+	resp, err := http.Get(fmt.Sprintf("http://127.%d.3.%d:%d/metrics", s.block, i, entriesMonitorPort))
+	s.c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	s.c.Assert(err, qt.IsNil)
+	for _, line := range strings.Split(string(body), "\n") {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			n, err := strconv.ParseFloat(value, 64)
+			s.c.Assert(err, qt.IsNil)
+			return n
+		}
+	}
+	s.t.Fatalf("host-%d has no metric %s", i, name)
+	return 0
+}
+
+// send sends a datagram to a port of a host, counted from 1.
+func (s *entrySystem) send(i, port int, b []byte) {
+	conn, err := net.Dial("udp4", fmt.Sprintf("127.%d.3.%d:%d", s.block, i, port))
+	s.c.Assert(err, qt.IsNil)
+	defer conn.Close()
+	_, err = conn.Write(b)
+	s.c.Assert(err, qt.IsNil)
+}
+
+// oddDatagrams are neither messages of hosts nor packets of callers.
+func oddDatagrams() [][]byte {
+	deepGroup := bytes.Repeat([]byte{0x7b}, 1300) // Starts of group 15, one in the other.
+	return [][]byte{{}, {0xff}, bytes.Repeat([]byte{0xff}, 1400), bytes.Repeat([]byte{0}, 32), deepGroup, []byte("GET / HTTP/1.1\r\n\r\n")}
+}
+
+// TestOddDatagramsCostThemselvesAlone sends odd datagrams to hosts. It guards against a host
+// that ends or no longer follows changes, and against datagrams that are not counted or cause
+// a log line each.
+func TestOddDatagramsCostThemselvesAlone(t *testing.T) {
+	t.Parallel()
+	const rounds = 20
+	s := newEntrySystem(t)
+	s.writeTarget(1)
+	s.writeConfig(1)
+	s.startHost()
+	s.startHost()
+	s.await("before", 1, 1)
+	for range rounds {
+		for _, b := range oddDatagrams() {
+			s.send(1, 7410, b)
+			s.send(1, 7400, b)
+		}
+	}
+	s.writeTarget(2)
+	s.writeConfig(2)
+	s.await("after", 2, 2)
+	s.checkRunning()
+	s.c.Check(s.metric(1, `wisteriaweir_invalid_elements_total{source="message"}`) >= rounds, qt.IsTrue)
+	s.c.Check(s.metric(1, `wisteriaweir_invalid_elements_total{source="packet"}`) >= rounds, qt.IsTrue)
+	log, err := os.ReadFile(s.hostLog(1))
+	s.c.Assert(err, qt.IsNil)
+	lines := strings.Count(string(log), "cannot be read")
+	s.c.Check(lines >= 2 && lines <= 12, qt.IsTrue, qt.Commentf("%d lines", lines))
+}
+
 // oddSpecs are entries that no target, host or operator writes.
 func oddSpecs() map[string]string {
 	valid := `"service":"levy-desk","address":"127.0.0.1:9000","zone":"west-a","version":"v1","state":"ready","sequence":1`
--- a/host/control.go
+++ b/host/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -35,9 +36,6 @@
 	// failureReportInterval is the minimum time between two health reports when
 	// requests have failed since the last one.
 	failureReportInterval = 150 * time.Millisecond
-	// unreadableLogInterval is the minimum time between two log lines on messages that cannot
-	// be read. Hosts of a later release may send such messages during an upgrade.
-	unreadableLogInterval = time.Minute
 	// maxQueuedMessages is the capacity of the queue of received messages.
 	maxQueuedMessages = 256
 	// minSpareCPU is the smallest CPU share, as a fraction of one core, with which a host
@@ -311,12 +309,26 @@
 	c.h.knownHosts.Store(&hosts)
 }
 
+// senderError reports a problem in a message, with the host that sent it.
+type senderError struct {
+	// host is the name of the sender, empty if it cannot be read.
+	host string
+	err  error
+}
+
+func (e *senderError) Error() string {
+	return fmt.Sprintf("from %.64q: %v", e.host, e.err)
+}
+
+func (e *senderError) Unwrap() error {
+	return e.err
+}
+
 // receiveMessages reads datagrams from the other hosts until ctx ends, and queues
 // the messages in them. It drops messages when the queue is full.
 func (h *Host) receiveMessages(ctx context.Context, conn *net.UDPConn, messages chan<- receivedMessage) {
 	decoder := reader.NewDecoder()
 	b := make([]byte, reader.MaxDatagramSize+1)
-	unreadableLoggedAt := time.Duration(0)
 	for ctx.Err() == nil {
 		n, _, err := conn.ReadFromUDPAddrPort(b)
 		if err != nil {
@@ -328,12 +340,12 @@
 		from, message, err := decoder.Decode(b[:n])
 		if err != nil {
 			h.counters.malformedMessages.Inc()
-			if now := h.now(); unreadableLoggedAt == 0 || now-unreadableLoggedAt >= unreadableLogInterval {
-				unreadableLoggedAt = now
-				h.log.WithError(err).WithField("from", from.Name).Warn("host: message of another host ignored, it cannot be read")
-			}
+			h.invalid.report(messageSource, "host: message of another host ignored, it cannot be read", &senderError{host: from.Name, err: err})
 			continue
 		}
+		for _, err := range decoder.Invalid() {
+			h.invalid.report(messageSource, "host: invalid element of a message skipped", &senderError{host: from.Name, err: err})
+		}
 		if message == nil || from.Name == h.cfg.Settings.Name {
 			continue
 		}
--- a/host/forward.go
+++ b/host/forward.go
@@ -48,8 +48,10 @@
 
 // forwarder forwards packets. Its methods run in the packet goroutine.
 type forwarder struct {
-	h    *Host
-	core *placement.Core
+	// malformedLoggedAt is when a datagram that is no packet was last logged, 0 if none was.
+	malformedLoggedAt time.Duration
+	h                 *Host
+	core              *placement.Core
 	// datagramBuf holds one datagram, after PrefixSize bytes for the prefix that
 	// identifies the target.
 	datagramBuf []byte
@@ -212,6 +214,7 @@
 	p, err := platform.ParsePacket(f.datagramBuf[platform.PrefixSize : platform.PrefixSize+n])
 	if err != nil {
 		f.h.counters.malformedPackets.Inc()
+		f.reportMalformed(now, err)
 		return nil
 	}
 	f.handlePacket(now, p, n)
@@ -219,6 +222,17 @@
 	return nil
 }
 
+// reportMalformed counts a datagram that is no packet. It logs one in each invalidLogInterval, as
+// there may be many.
+func (f *forwarder) reportMalformed(now time.Duration, err error) {
+	if f.malformedLoggedAt != 0 && now-f.malformedLoggedAt < invalidLogInterval {
+		f.h.invalid.count(packetSource)
+		return
+	}
+	f.malformedLoggedAt = now
+	f.h.invalid.report(packetSource, "host: packet dropped, it cannot be read", err)
+}
+
 // wakeForwarder ends the packet goroutine's wait for a packet, so that it processes the reports
 // of other hosts at once.
 func (h *Host) wakeForwarder() {
--- a/host/invalid.go
+++ b/host/invalid.go
@@ -62,10 +62,15 @@
 	return e
 }
 
+// count counts an invalid element without a log line.
+func (e *invalidElements) count(s source) {
+	e.counters[s].Inc()
+}
+
 // report counts an invalid element, and logs it with the given message unless the limit of log
 // lines forbids it. err describes the element and the problem.
 func (e *invalidElements) report(s source, message string, err error) {
-	e.counters[s].Inc()
+	e.count(s)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	w := e.window(s)
--- a/reader/codec.go
+++ b/reader/codec.go
@@ -153,6 +153,14 @@
 type Decoder struct {
 	// reassemblies are the incomplete updates by the name of the host.
 	reassemblies map[string]*reassembly
+	// invalid has an error for each element of the last message that was skipped.
+	invalid []error
+}
+
+// Invalid returns a *MessageError for each element of the last message that is invalid and was
+// skipped.
+func (d *Decoder) Invalid() []error {
+	return d.invalid
 }
 
 // reassembly is an update of which fragments are missing.
@@ -169,14 +177,16 @@
 }
 
 // Decode returns the host that sent a datagram and its message. The message is nil
-// while fragments of an update are missing. The error is a *MessageError.
+// while fragments of an update are missing. Invalid elements of the message are skipped; see
+// Invalid. The error is a *MessageError.
 func (d *Decoder) Decode(b []byte) (Member, Message, error) {
+	d.invalid = nil
 	var m readerpb.Note
 	if err := proto.Unmarshal(b, &m); err != nil {
 		return Member{}, nil, &MessageError{Reason: err.Error()}
 	}
 	from := Member{Name: m.Host, Domain: m.Domain, Address: addrPortFromUint32(m.Ip, m.Port), HasSpareCapacity: m.Strong}
-	if from.Name == "" || m.Ip == 0 || m.Port == 0 || m.Port > 65535 {
+	if from.Name == "" || m.Ip == 0 || !isPort(m.Port) {
 		return Member{}, nil, &MessageError{Reason: "missing or invalid host name, IP address or port"}
 	}
 	switch body := m.Body.(type) {
@@ -193,12 +203,14 @@
 			Position: catalog.Position{Era: body.Evacuated.Era, Revision: body.Evacuated.Revision}, Set: evacuation.NewSet(body.Evacuated.Domains...),
 		}, nil
 	case *readerpb.Note_Load:
-		msg, err := loadFromProto(body.Load)
+		msg, err := d.loadFromProto(body.Load)
 		return from, msg, err
 	case *readerpb.Note_Lookup:
 		return from, Lookup{Stamps: body.Lookup.Stamps}, nil
 	case *readerpb.Note_Found:
-		return from, foundFromProto(body.Found), nil
+		found, invalid := foundFromProto(body.Found)
+		d.invalid = invalid
+		return from, found, nil
 	case *readerpb.Note_Part:
 		msg, err := d.addFragment(from, body.Part)
 		return from, msg, err
@@ -207,8 +219,8 @@
 	}
 }
 
-// loadFromProto returns the load report of a wire form.
-func loadFromProto(w *readerpb.Load) (Message, error) {
+// loadFromProto returns the load report of a wire form. It skips services without a finite level.
+func (d *Decoder) loadFromProto(w *readerpb.Load) (Message, error) {
 	if len(w.Stamps) != len(w.Busy) || len(w.Stamps) != len(w.Queued) ||
 		len(w.Failing) != len(w.Good) || len(w.Failing) != len(w.Failed) ||
 		len(w.Stalled) != len(w.StalledMs) || len(w.Responded) != len(w.RespondedMs) {
@@ -228,6 +240,10 @@
 		l.Failures[stamp] = placement.OutcomeWeights{Succeeded: float64(w.Good[i]) / weightUnits, Failed: float64(w.Failed[i]) / weightUnits}
 	}
 	for _, s := range w.Services {
+		if level := float64(s.Level); !(level >= 0) || math.IsInf(level, 1) {
+			d.invalid = append(d.invalid, &MessageError{Reason: fmt.Sprintf("level of service %.*q is %v", maxNameBytes, s.Service, level)})
+			continue
+		}
 		if l.Services == nil {
 			l.Services = map[string]placement.ServiceLoad{}
 		}
@@ -279,7 +295,9 @@
 	if err := proto.Unmarshal(encoded, &m); err != nil {
 		return nil, &MessageError{Reason: err.Error()}
 	}
-	return updateFromProto(&m), nil
+	u, invalid := updateFromProto(&m)
+	d.invalid = invalid
+	return u, nil
 }
 
 // erasToProto returns the wire form of the eras of positions, nil if the store names none.
--- a/reader/codec_test.go
+++ b/reader/codec_test.go
@@ -2,17 +2,21 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"reflect"
+	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
 
 	"wisteriaweir/catalog"
 	"wisteriaweir/evacuation"
 	"wisteriaweir/placement"
 	"wisteriaweir/reader"
+	"wisteriaweir/reader/readerpb"
 	"wisteriaweir/route"
 )
 
@@ -115,6 +119,59 @@
 	qt.Assert(t, got[0].(reader.Update).Position, qt.Equals, at(2))
 }
 
+// decodeNotes returns the last message that a decoder returns for messages of one host.
+func decodeNotes(t *testing.T, d *reader.Decoder, notes ...*readerpb.Note) reader.Message {
+	var msg reader.Message
+	for _, n := range notes {
+		n.Host, n.Domain, n.Ip, n.Port = "two", "west-a", 1, 7720
+		b, err := proto.Marshal(n)
+		qt.Assert(t, err, qt.IsNil)
+		_, msg, err = d.Decode(b)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	return msg
+}
+
+// part returns the message with a part of an update.
+func part(t *testing.T, id uint64, index, count uint32, c *readerpb.Content) *readerpb.Note {
+	b, err := proto.Marshal(c)
+	qt.Assert(t, err, qt.IsNil)
+	return &readerpb.Note{Body: &readerpb.Note_Part{Part: &readerpb.Part{Id: id, Index: index, Count: count, Data: b}}}
+}
+
+// TestDecodeInvalidElements guards against a message that is lost because of one invalid
+// element, and against values that wrap around: port 65979 is not port 443.
+func TestDecodeInvalidElements(t *testing.T) {
+	valid := func() *readerpb.Target {
+		return &readerpb.Target{Id: "i-1", Number: 1, Service: "desk", Domain: "west-a", Ip: 1, Port: 443, Slots: 2}
+	}
+	targets := []*readerpb.Target{valid()}
+	for _, change := range []func(*readerpb.Target){
+		func(w *readerpb.Target) { w.Id = "" }, func(w *readerpb.Target) { w.Number = 0 }, func(w *readerpb.Target) { w.Port = 65979 },
+		func(w *readerpb.Target) { w.Port = 0 }, func(w *readerpb.Target) { w.Ip = 0 }, func(w *readerpb.Target) { w.Slots = 1 << 31 },
+		func(w *readerpb.Target) { w.Born = -1 }, func(w *readerpb.Target) { w.Service = strings.Repeat("s", 1000) },
+	} {
+		w := valid()
+		change(w)
+		targets = append(targets, w)
+	}
+	d := reader.NewDecoder()
+	u := decodeNotes(t, d, part(t, 1, 0, 1, &readerpb.Content{Revision: 9, Full: true, Targets: targets})).(reader.Update)
+	qt.Assert(t, u.Targets, qt.HasLen, 1)
+	qt.Assert(t, d.Invalid(), qt.HasLen, 8)
+	qt.Assert(t, d.Invalid()[0], qt.ErrorAs, new(*reader.MessageError))
+
+	routes := []*readerpb.Route{{Name: "r", Ip: 1, Port: 443}, {Name: "wrapped", Ip: 1, Port: 65979}, {Name: "first", Ip: 1, Port: 444, Priority: 1 << 31}}
+	u = decodeNotes(t, d, part(t, 2, 0, 1, &readerpb.Content{Revision: 9, Table: &readerpb.Table{Number: 3, Routes: routes}})).(reader.Update)
+	qt.Assert(t, u.Routes.Size(), qt.Equals, 1)
+	qt.Assert(t, d.Invalid(), qt.HasLen, 2)
+
+	services := []*readerpb.ServiceLoad{{Service: "desk", Level: 0.5}, {Service: "bad", Level: float32(math.NaN())}, {Service: "worse", Level: float32(math.Inf(1))}}
+	l := decodeNotes(t, d, &readerpb.Note{Body: &readerpb.Note_Load{Load: &readerpb.Load{Services: services}}}).(reader.Load)
+	qt.Assert(t, l.Services, qt.HasLen, 1)
+	qt.Assert(t, d.Invalid(), qt.HasLen, 2)
+}
+
 // FuzzDecode guards against malformed datagrams that cause a panic, and against messages
 // that are accepted without the name or a valid address of the sender.
 func FuzzDecode(f *testing.F) {
@@ -132,7 +189,13 @@
 		f.Add(datagrams[0])
 	}
 	f.Fuzz(func(t *testing.T, b []byte) {
-		from, _, err := reader.NewDecoder().Decode(b)
+		from, msg, err := reader.NewDecoder().Decode(b)
+		u, _ := msg.(reader.Update)
+		for _, target := range u.Targets {
+			if target.ID == "" || target.InstanceNumber == 0 || target.Address.Port() == 0 || target.Slots < 1 {
+				t.Fatalf("accepted %+v", target)
+			}
+		}
 		if err == nil && (from.Name == "" || !from.Address.IsValid()) {
 			t.Fatalf("accepted a message from %+v", from)
 		}
--- a/reader/codec_update.go
+++ b/reader/codec_update.go
@@ -1,6 +1,7 @@
 package reader
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -40,8 +41,29 @@
 	return m
 }
 
-// updateFromProto returns the update of a wire form.
-func updateFromProto(m *readerpb.Content) Update {
+// Limits of the values of one element in a message. Hosts do not send values beyond them.
+const (
+	// maxNameBytes is the length of the longest name in bytes.
+	maxNameBytes = 256
+	// maxPort is the highest port.
+	maxPort = 1<<16 - 1
+	// maxNumber is the largest number of slots, priority or weight.
+	maxNumber = 1 << 20
+)
+
+// isName reports whether s can be the name of a target, a service or a failure domain.
+func isName(s string) bool {
+	return s != "" && len(s) <= maxNameBytes
+}
+
+// isPort reports whether n is a port other than 0.
+func isPort(n uint32) bool {
+	return n != 0 && n <= maxPort
+}
+
+// updateFromProto returns the update of a wire form. It skips invalid targets and routes, and
+// returns a *MessageError for each of them.
+func updateFromProto(m *readerpb.Content) (Update, []error) {
 	u := Update{
 		Position: catalog.Position{Era: m.Era, Revision: m.Revision}, Base: catalog.Position{Era: m.FromEra, Revision: m.From},
 		HasAllTargets: m.Full, Digest: m.Digest,
@@ -49,8 +71,8 @@
 	if m.Table != nil {
 		return addTableFromProto(u, m.Table)
 	}
-	for _, w := range m.Targets {
-		t := targetFromProto(w)
+	targets, invalid := targetsFromProto(m.Targets)
+	for _, t := range targets {
 		if u.HasAllTargets {
 			u.Targets = append(u.Targets, t)
 			continue
@@ -62,7 +84,7 @@
 		// than that of any entry that it removes.
 		u.Changes = append(u.Changes, catalog.Change{Target: catalog.Target{ID: id, Position: u.Position}, Removed: true})
 	}
-	return u
+	return u, invalid
 }
 
 // tableToProto returns the wire form of a routing table, or of the updated routes of a
@@ -98,31 +120,50 @@
 	return warmups
 }
 
-// addTableFromProto adds a routing table, or changes of one, to u.
-func addTableFromProto(u Update, m *readerpb.Table) Update {
-	routes := make([]route.Route, 0, len(m.Routes))
-	for _, w := range m.Routes {
+// routesFromProto returns the valid routes of a wire form, and a *MessageError for each of the
+// others.
+func routesFromProto(ws []*readerpb.Route) ([]route.Route, []error) {
+	var invalid []error
+	routes := make([]route.Route, 0, len(ws))
+	for _, w := range ws {
 		r := route.Route{
 			Name: w.Name, Address: route.Address{IP: w.Ip, Port: uint16(w.Port)}, Kind: route.Kind(w.Kind),
 			LatencyObjective: fromMilliseconds(w.ObjectiveMs), Timeout: fromMilliseconds(w.TimeoutMs),
 			Priority: int(w.Priority),
 		}
+		isValid := isPort(w.Port) && w.Priority <= maxNumber
 		for _, s := range w.Shares {
+			isValid = isValid && s.Weight <= maxNumber
 			r.WeightedServices = append(r.WeightedServices, route.WeightedService{Service: s.Service, Weight: int(s.Weight)})
 		}
+		if !isValid {
+			invalid = append(invalid, &MessageError{Reason: fmt.Sprintf("route %.*q has a port, priority or weight out of range", maxNameBytes, w.Name)})
+			continue
+		}
 		routes = append(routes, r)
 	}
+	return routes, invalid
+}
+
+// addTableFromProto adds a routing table, or changes of one, to u. It skips invalid routes, and
+// returns a *MessageError for each of them.
+func addTableFromProto(u Update, m *readerpb.Table) (Update, []error) {
+	routes, invalid := routesFromProto(m.Routes)
 	if !m.Delta {
 		t := route.NewTable(m.Number, fromMilliseconds(m.IdleMs), routes).WithWarmups(warmupsFromProto(m))
 		u.Routes = &t
-		return u
+		return u, invalid
 	}
 	ch := &route.Changes{Number: m.Number, IdleTimeout: fromMilliseconds(m.IdleMs), Updated: routes, Warmups: warmupsFromProto(m)}
 	for _, a := range m.Removed {
+		if !isPort(a.Port) {
+			invalid = append(invalid, &MessageError{Reason: fmt.Sprintf("removed address with port %d", a.Port)})
+			continue
+		}
 		ch.Removed = append(ch.Removed, route.Address{IP: a.Ip, Port: uint16(a.Port)})
 	}
 	u.RouteChanges = ch
-	return u
+	return u, invalid
 }
 
 // targetToProto returns the wire form of a target.
@@ -146,13 +187,35 @@
 	return w
 }
 
-// foundFromProto returns the reply to a lookup of a wire form.
-func foundFromProto(m *readerpb.Found) Found {
+// foundFromProto returns the reply to a lookup of a wire form. It skips invalid targets, and
+// returns a *MessageError for each of them.
+func foundFromProto(m *readerpb.Found) (Found, []error) {
 	var found Found
-	for _, w := range m.Targets {
-		found.Targets = append(found.Targets, placement.FoundTarget{Target: targetFromProto(w), Dead: slices.Contains(m.Dead, w.Id)})
+	targets, invalid := targetsFromProto(m.Targets)
+	for _, t := range targets {
+		found.Targets = append(found.Targets, placement.FoundTarget{Target: t, Dead: slices.Contains(m.Dead, t.ID)})
 	}
-	return found
+	return found, invalid
+}
+
+// targetsFromProto returns the valid targets of a wire form, and a *MessageError for each of
+// the others.
+func targetsFromProto(ws []*readerpb.Target) ([]catalog.Target, []error) {
+	var targets []catalog.Target
+	var invalid []error
+	for _, w := range ws {
+		if !isValidTarget(w) {
+			invalid = append(invalid, &MessageError{Reason: fmt.Sprintf("target %.*q has a missing field or a value out of range", maxNameBytes, w.Id)})
+			continue
+		}
+		targets = append(targets, targetFromProto(w))
+	}
+	return targets, invalid
+}
+
+// isValidTarget reports whether the wire form of a target has all fields, in their ranges.
+func isValidTarget(w *readerpb.Target) bool {
+	return isName(w.Id) && isName(w.Service) && isName(w.Domain) && w.Number != 0 && w.Ip != 0 && isPort(w.Port) && w.Slots <= maxNumber && w.Born >= 0
 }
 
 // targetFromProto returns the target of a wire form, with at least one slot.
