Do not count an invalid entry as the removal of its target

Cause: another writer wrote an entry that names no server over that of a running one. A change that cannot be used was passed on as a removal, and a target without an entry counts as dead after a single request without a response, for as long as it has no entry. One lost datagram was enough; from then on each request on the other flows was reset as well. Nothing was forwarded to the target any more that could have shown that it lives.

Change: the catalog knows which entries are invalid. Such a target gets no new flows, as its entry names none, but it may run: its flows stay, and it is taken for dead by the evidence that holds for a listed target, which expires. The removal of the entry, by the store or by its expiry, counts as before. Readers tell the other hosts which of the removed targets have an invalid entry; hosts of earlier releases ignore that field and count them as removed, and the digest leaves them out as before, so that both kinds of hosts agree on it.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -16,6 +16,7 @@
 package catalog
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -54,8 +55,22 @@
 type Change struct {
 	// Target is the new state. Of a removed target only ID and Position are used.
 	Target Target `json:"target"`
-	// Removed reports whether the target was removed from the store.
+	// Removed reports whether the target was removed from the store, or has an invalid
+	// entry there.
 	Removed bool `json:"removed,omitempty"`
+	// Invalid reports whether the target has an entry, but an invalid one. Removed is then
+	// set as well.
+	Invalid bool `json:"invalid,omitempty"`
+}
+
+// InvalidEntry is an entry of a target that cannot be used, as another program has written it.
+// The target gets no new flows, but it may run: its open flows stay, and it writes its own
+// entry again with its next heartbeat.
+type InvalidEntry struct {
+	// ID is the unique name of the target in the store.
+	ID string
+	// Position is the store's position at the entry's last change.
+	Position Position
 }
 
 // Catalog is the routing table, the targets and the evacuations, each at its own
@@ -66,6 +81,9 @@
 	routesPosition  Position
 	targets         map[string]Target
 	targetsPosition Position
+	// invalid holds the position of the last change of each invalid entry by the ID of the
+	// target, which is not in targets.
+	invalid map[string]Position
 	// targetsSum is the sum of the digests of all targets.
 	targetsSum          uint64
 	evacuations         evacuation.Set
@@ -102,6 +120,21 @@
 	return c.targets
 }
 
+// HasInvalidEntry reports whether the store has an invalid entry of a target.
+func (c Catalog) HasInvalidEntry(id string) bool {
+	_, ok := c.invalid[id]
+	return ok
+}
+
+// InvalidEntries returns the invalid entries, in no particular order.
+func (c Catalog) InvalidEntries() []InvalidEntry {
+	var entries []InvalidEntry
+	for id, position := range c.invalid {
+		entries = append(entries, InvalidEntry{ID: id, Position: position})
+	}
+	return entries
+}
+
 // Evacuations returns the evacuated failure domains.
 func (c Catalog) Evacuations() evacuation.Set {
 	return c.evacuations
@@ -165,11 +198,12 @@
 	return number >= c.routes.Number() && position.After(c.routesPosition)
 }
 
-// WithTargets returns c with all targets replaced. It returns c unchanged if position
-// is not later than that of c's own targets. An entry of c stays if it is later than the
-// given one, or than position if none is given: c may contain later changes than its own
-// position says, as a list does whose pages show different states of the store.
-func (c Catalog) WithTargets(targets []Target, position Position) Catalog {
+// WithTargets returns c with all targets replaced, and with invalid as its invalid entries. It
+// returns c unchanged if position is not later than that of c's own targets. An entry of c stays
+// if it is later than the given one, or than position if none is given: c may contain later
+// changes than its own position says, as a list does whose pages show different states of the
+// store.
+func (c Catalog) WithTargets(targets []Target, position Position, invalid ...InvalidEntry) Catalog {
 	if !position.After(c.targetsPosition) {
 		return c
 	}
@@ -186,6 +220,12 @@
 		}
 		c.targets[t.ID] = t
 	}
+	c.invalid = make(map[string]Position, len(invalid))
+	for _, e := range invalid {
+		if _, ok := c.targets[e.ID]; !ok {
+			c.invalid[e.ID] = e.Position
+		}
+	}
 	c.targetsSum = 0
 	for _, t := range c.targets {
 		c.targetsSum += t.digest()
@@ -202,41 +242,53 @@
 		return c
 	}
 	if len(changes) > 0 {
-		targets := make(map[string]Target, len(c.targets)+len(changes))
-		for id, t := range c.targets {
-			targets[id] = t
-		}
+		c.targets, c.invalid = maps.Clone(c.targets), maps.Clone(c.invalid)
 		for _, ch := range changes {
-			c.targetsSum -= digestOf(targets, ch.Target.ID)
-			applyChange(targets, ch)
-			c.targetsSum += digestOf(targets, ch.Target.ID)
+			c.targetsSum -= digestOf(c.targets, ch.Target.ID)
+			c.applyChange(ch)
+			c.targetsSum += digestOf(c.targets, ch.Target.ID)
 		}
-		c.targets = targets
 	}
 	c.targetsPosition = position
 	return c
 }
 
-// Diff returns the changes from the targets of c to the given ones, which were read at
-// the later position. That position is set in the changes of removed targets. Entries
-// that only have another era are equal.
-func (c Catalog) Diff(targets []Target, position Position) []Change {
+// Diff returns the changes from the targets of c to the given ones and to the given invalid
+// entries, which were read at the later position. That position is set in the changes of removed
+// targets. Entries that only have another era are equal.
+func (c Catalog) Diff(targets []Target, position Position, invalid ...InvalidEntry) []Change {
 	var changes []Change
-	listed := make(map[string]bool, len(targets))
+	listed := make(map[string]bool, len(targets)+len(invalid))
 	for _, t := range targets {
 		listed[t.ID] = true
 		if !c.targets[t.ID].Equal(t) {
 			changes = append(changes, Change{Target: t})
 		}
 	}
+	for _, e := range invalid {
+		listed[e.ID] = true
+		if !c.HasInvalidEntry(e.ID) {
+			changes = append(changes, e.change())
+		}
+	}
 	for id := range c.targets {
 		if !listed[id] {
 			changes = append(changes, Change{Target: Target{ID: id, Position: position}, Removed: true})
 		}
 	}
+	for id := range c.invalid {
+		if !listed[id] {
+			changes = append(changes, Change{Target: Target{ID: id, Position: position}, Removed: true})
+		}
+	}
 	return changes
 }
 
+// change returns the change that leads to the entry.
+func (e InvalidEntry) change() Change {
+	return Change{Target: Target{ID: e.ID, Position: e.Position}, Removed: true, Invalid: true}
+}
+
 // Equal reports whether two entries of a target are equal. The revisions count only within
 // one era, as a copy of the store keeps those of the entries in it.
 func (t Target) Equal(o Target) bool {
@@ -254,14 +306,27 @@
 	})
 }
 
-// applyChange applies one change, unless it is older than the current entry.
-func applyChange(targets map[string]Target, ch Change) {
-	if current, ok := targets[ch.Target.ID]; ok && current.Position.After(ch.Target.Position) {
+// applyChange applies one change to the maps of c, unless it is older than the current entry.
+func (c *Catalog) applyChange(ch Change) {
+	id := ch.Target.ID
+	if current, ok := c.targets[id]; ok && current.Position.After(ch.Target.Position) {
 		return
 	}
-	if ch.Removed {
-		delete(targets, ch.Target.ID)
+	if current, ok := c.invalid[id]; ok && current.After(ch.Target.Position) {
 		return
 	}
-	targets[ch.Target.ID] = ch.Target
+	delete(c.targets, id)
+	delete(c.invalid, id)
+	switch {
+	case !ch.Removed:
+		if c.targets == nil {
+			c.targets = map[string]Target{}
+		}
+		c.targets[id] = ch.Target
+	case ch.Invalid:
+		if c.invalid == nil {
+			c.invalid = map[string]Position{}
+		}
+		c.invalid[id] = ch.Target.Position
+	}
 }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -61,6 +61,33 @@
 	qt.Assert(t, c.Targets(), qt.HasLen, 1)
 }
 
+// TestInvalidEntries guards against an invalid entry that counts as the removal of its target,
+// that outlasts the target's own entry, or that a list does not end.
+func TestInvalidEntries(t *testing.T) {
+	c := catalog.Catalog{}.WithTargets([]catalog.Target{target("a", 5), target("b", 9)}, at(10))
+	digest := c.WithChanges([]catalog.Change{{Target: target("a", 11), Removed: true}}, at(11)).TargetsDigest()
+	invalid := c.WithChanges([]catalog.Change{{Target: target("a", 11), Removed: true, Invalid: true}}, at(11))
+	qt.Assert(t, invalid.HasInvalidEntry("a"), qt.IsTrue)
+	qt.Assert(t, invalid.Targets(), qt.HasLen, 1)
+	qt.Assert(t, invalid.TargetsDigest(), qt.Equals, digest, qt.Commentf("hosts of earlier releases count it as removed"))
+	qt.Assert(t, c.HasInvalidEntry("a"), qt.IsFalse)
+
+	qt.Assert(t, invalid.WithChanges([]catalog.Change{{Target: target("a", 8)}}, at(12)).HasInvalidEntry("a"), qt.IsTrue)
+	valid := invalid.WithChanges([]catalog.Change{{Target: target("a", 12)}}, at(12))
+	qt.Assert(t, valid.HasInvalidEntry("a"), qt.IsFalse)
+	qt.Assert(t, valid.Targets(), qt.HasLen, 2)
+	qt.Assert(t, invalid.WithChanges([]catalog.Change{{Target: target("a", 12), Removed: true}}, at(12)).HasInvalidEntry("a"), qt.IsFalse)
+
+	entry := catalog.InvalidEntry{ID: "b", Position: at(13)}
+	changes := invalid.Diff([]catalog.Target{target("a", 12)}, at(14), entry)
+	next := invalid.WithChanges(changes, at(14))
+	qt.Assert(t, next.InvalidEntries(), qt.DeepEquals, []catalog.InvalidEntry{entry})
+	qt.Assert(t, next.Targets(), qt.HasLen, 1)
+	qt.Assert(t, next.Diff([]catalog.Target{target("a", 12)}, at(15), entry), qt.HasLen, 0)
+	qt.Assert(t, next.WithChanges(next.Diff([]catalog.Target{target("a", 12)}, at(15)), at(15)).InvalidEntries(), qt.HasLen, 0)
+	qt.Assert(t, c.WithTargets([]catalog.Target{target("a", 12)}, at(14), entry).HasInvalidEntry("b"), qt.IsTrue)
+}
+
 // TestEvacuations guards against a set of evacuations that goes back to an older one, and
 // against a catalog that is complete before the evacuations are known, so that a host that
 // starts would send flows to an evacuated failure domain.
--- a/entries_test.go
+++ b/entries_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -147,6 +148,48 @@
 	}
 }
 
+// awaitState waits until the target has a state in the dumps of all hosts, and fails the test if
+// that takes longer than followLimit.
+func (s *entrySystem) awaitState(id, state string) {
+	s.t.Helper()
+	end := time.Now().Add(followLimit)
+	for i := range s.hosts {
+		for !s.hasState(i+1, id, state) {
+			if time.Now().After(end) {
+				s.t.Fatalf("%s is not %s on host-%d", id, state, i+1)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
+// hasState reports whether the target has a state in the dump of a host, counted from 1.
+func (s *entrySystem) hasState(i int, id, state string) bool {
+	d, _ := s.dump(i)
+	return slices.ContainsFunc(d.Targets, func(t host.DumpTarget) bool { return t.ID == id && t.Load.State == state })
+}
+
+// TestInvalidEntryIsNoRemoval writes over the entry of a target. It guards against hosts, the
+// readers and those that they inform, that count the target as removed, so that one flow without
+// a response is enough to reset all its flows.
+func TestInvalidEntryIsNoRemoval(t *testing.T) {
+	t.Parallel()
+	s := newEntrySystem(t)
+	s.writeTarget(1)
+	s.writeTarget(2)
+	s.writeConfig(1)
+	for range 3 {
+		s.startHost()
+	}
+	s.await("before", 1, 2)
+	s.store.PutRaw(platform.KindTargets, targetID(1), []byte(`{"service":"levy-desk","state":"maintenance"}`))
+	s.awaitState(targetID(1), "invalid")
+	s.writeTarget(1)
+	s.awaitState(targetID(1), "ready")
+	s.c.Assert(s.client.Remove(context.Background(), platform.KindTargets, targetID(1), 0), qt.IsNil)
+	s.awaitState(targetID(1), "gone")
+}
+
 // metric returns the value of a metric of a host, counted from 1.
 func (s *entrySystem) metric(i int, name string) float64 {
 	resp, err := http.Get(fmt.Sprintf("http://127.%d.3.%d:%d/metrics", s.block, i, entriesMonitorPort))
--- a/host/reading.go
+++ b/host/reading.go
@@ -147,23 +147,26 @@
 		set := evacuation.NewSet(w.parseEvacuations(listing.Records)...)
 		update.Evacuations = &set
 	default:
-		update.HasAllTargets, update.Targets = true, w.parseTargets(listing.Records)
+		update.HasAllTargets = true
+		update.Targets, update.InvalidEntries = w.parseTargets(listing.Records)
 	}
 	return update, nil
 }
 
-// parseTargets returns the targets of entries without the invalid ones.
-func (w *storeWatcher) parseTargets(records []platform.Record) []catalog.Target {
+// parseTargets returns the targets of entries, and the invalid entries.
+func (w *storeWatcher) parseTargets(records []platform.Record) ([]catalog.Target, []catalog.InvalidEntry) {
 	var targets []catalog.Target
+	var invalid []catalog.InvalidEntry
 	for _, r := range records {
 		t, err := platform.ParseTarget(r)
 		if err != nil {
 			w.reportInvalid(err)
+			invalid = append(invalid, catalog.InvalidEntry{ID: r.Name, Position: r.Position()})
 			continue
 		}
 		targets = append(targets, t)
 	}
-	return targets
+	return targets, invalid
 }
 
 // parseEvacuations returns the failure domains of evacuations without the invalid ones.
@@ -238,16 +241,17 @@
 	return h.cfg.Settings.EvacuationBound > 0
 }
 
-// parseChange returns the change of one target. An invalid entry counts as removed.
+// parseChange returns the change of one target.
 func (w *storeWatcher) parseChange(e platform.Event) catalog.Change {
-	removed := catalog.Change{Target: catalog.Target{ID: e.Record.Name, Position: e.Record.Position()}, Removed: true}
+	change := catalog.Change{Target: catalog.Target{ID: e.Record.Name, Position: e.Record.Position()}, Removed: true}
 	if e.Removed {
-		return removed
+		return change
 	}
 	t, err := platform.ParseTarget(e.Record)
 	if err != nil {
 		w.reportInvalid(err)
-		return removed
+		change.Invalid = true
+		return change
 	}
 	return catalog.Change{Target: t}
 }
--- a/placement/event.go
+++ b/placement/event.go
@@ -15,6 +15,9 @@
 	TargetAdded TargetEvent = "target new"
 	// TargetRemoved: the target was removed from the catalog.
 	TargetRemoved TargetEvent = "target gone"
+	// TargetInvalid: the entry of the target is invalid, as another program has written it.
+	// The target gets no new flows, its open ones stay.
+	TargetInvalid TargetEvent = "target entry invalid"
 	// TargetFound: a host has found a removed target at another host, by the stamp of an open
 	// flow.
 	TargetFound TargetEvent = "target found"
--- a/placement/health.go
+++ b/placement/health.go
@@ -159,9 +159,9 @@
 }
 
 // isKnownDead reports whether the target is considered dead by evidence that has not
-// expired. It does not expire if the entry of the target is gone as well.
+// expired. It does not expire if the target has no entry any more.
 func (t *Target) isKnownDead(now time.Duration) bool {
-	return t.dead && (now-t.lastStallAt < deadTTL || t.removed && !t.mayBeReadded(now))
+	return t.dead && (now-t.lastStallAt < deadTTL || t.removed && !t.mayRun(now))
 }
 
 // expireDead ends the dead state of a target if no flow has stalled on it within
@@ -185,8 +185,8 @@
 }
 
 // isDead decides whether a target responds to no flow, by the stalled flows of this host and
-// of its domain peers. One stalled flow of this host is enough for a target that was removed
-// from the catalog, that another host has reported dead, or whose failure domain is silent.
+// of its domain peers. One stalled flow of this host is enough for a target that has no entry
+// any more, that another host has reported dead, or whose failure domain is silent.
 func (c *Core) isDead(now time.Duration, t *Target) bool {
 	if c.recentProgress.countWithin(now, selfCheckWindow) < c.recentStalls.countWithin(now, selfCheckWindow) {
 		return false
@@ -194,7 +194,7 @@
 	if t.stalledFlows == 0 {
 		return false
 	}
-	if t.removed && !t.mayBeReadded(now) || t.isReportedDead(now) {
+	if t.removed && !t.mayRun(now) || t.isReportedDead(now) {
 		return true
 	}
 	return t.stalledFlows+t.peerStallCount(now, 0) >= minDeadStalls || c.isDomainSilent(now, t.Domain)
--- a/placement/lookup.go
+++ b/placement/lookup.go
@@ -126,7 +126,7 @@
 func (c *Core) addFound(now time.Duration, f FoundTarget) {
 	t := &Target{
 		Target: f.Target, Stamp: StampOf(f.Target.ID), window: newWindow(f.Target.Slots),
-		openings: warmup.NewTarget(f.Target.ID, f.Target.Domain), removed: true, removedAt: now,
+		openings: warmup.NewTarget(f.Target.ID, f.Target.Domain), removed: true, removedAt: now, hasInvalidEntry: c.catalog.HasInvalidEntry(f.Target.ID),
 	}
 	if f.Dead {
 		t.dead, t.lastStallAt = true, now
--- a/placement/script_setup_test.go
+++ b/placement/script_setup_test.go
@@ -96,11 +96,16 @@
 func (r *runner) setTargets(args []string) error {
 	r.revision++
 	var targets []catalog.Target
+	var invalid []catalog.InvalidEntry
 	for i, a := range args {
 		w := strings.Split(a, ":")
 		if len(w) < 3 {
 			return fmt.Errorf("malformed target %q", a)
 		}
+		if len(w) > 3 && w[3] == "invalid" {
+			invalid = append(invalid, catalog.InvalidEntry{ID: w[0], Position: r.position()})
+			continue
+		}
 		t := catalog.Target{
 			ID: w[0], InstanceNumber: uint64(i + 1), Service: w[1], Domain: w[2], Slots: 2, Position: r.position(),
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 9000),
@@ -119,7 +124,7 @@
 		}
 		targets = append(targets, t)
 	}
-	r.cat = r.cat.WithTargets(targets, r.position())
+	r.cat = r.cat.WithTargets(targets, r.position(), invalid...)
 	r.core.SetCatalog(r.now, r.cat)
 	return nil
 }
--- a/placement/status.go
+++ b/placement/status.go
@@ -20,8 +20,8 @@
 	Speed float64 `json:"speed,omitempty"`
 	// PeerLoad is the load that domain peers add.
 	PeerLoad TargetLoad `json:"others"`
-	// State is ready, draining, evacuated, gone (removed from the catalog), suspect,
-	// failing, dead, collides or untrusted (the entry comes from an older copy of the store
+	// State is ready, draining, evacuated, gone (removed from the catalog), invalid (its
+	// entry is), suspect, failing, dead, collides or untrusted (the entry comes from an older copy of the store
 	// and contradicts what was known before).
 	State string `json:"state"`
 	// Warmup is the time until the end of the target's warm-up, such as 1.5s. It is empty
@@ -48,6 +48,8 @@
 		s.State = "collides"
 	case t.dead:
 		s.State = "dead"
+	case t.hasInvalidEntry:
+		s.State = "invalid"
 	case t.removed:
 		s.State = "gone"
 	case t.evacuated:
--- a/placement/target.go
+++ b/placement/target.go
@@ -56,6 +56,9 @@
 	removed bool
 	// removedAt is when the target was last removed from the catalog.
 	removedAt time.Duration
+	// hasInvalidEntry reports whether a removed target has an invalid entry: another program
+	// has written it, and the target may run.
+	hasInvalidEntry bool
 	// mayHaveExpired reports whether the entry of a removed target may have expired
 	// while the target still runs.
 	mayHaveExpired bool
@@ -100,6 +103,11 @@
 	return t.mayHaveExpired && now-t.removedAt < expiryGrace
 }
 
+// mayRun reports whether a removed target may still run.
+func (t *Target) mayRun(now time.Duration) bool {
+	return t.hasInvalidEntry || t.mayBeReadded(now)
+}
+
 // StampOf returns the stamp of a target: a hash of its ID, never 0.
 func StampOf(id string) uint32 {
 	h := uint32(xxhash.Sum64String(id))
@@ -154,12 +162,19 @@
 	hadRecentOutage := c.hadOutage && now-c.lastOutageAt < outageGrace
 	massRemoved := c.massRemovedServices(cat)
 	for _, t := range c.targetsInStartOrder {
-		if _, ok := cat.Target(t.ID); ok || t.removed {
-			continue
+		wasKnown := !t.removed || t.hasInvalidEntry
+		_, isListed := cat.Target(t.ID)
+		t.hasInvalidEntry = !isListed && cat.HasInvalidEntry(t.ID)
+		switch {
+		case isListed || !wasKnown:
+		case t.hasInvalidEntry && !t.removed:
+			t.removed, t.removedAt, t.mayHaveExpired = true, now, false
+			c.notify(TargetInvalid, t)
+		case !t.hasInvalidEntry:
+			t.removed, t.removedAt = true, now
+			t.mayHaveExpired = !t.Draining && (hadRecentOutage || massRemoved[t.Service])
+			c.notify(TargetRemoved, t)
 		}
-		t.removed, t.removedAt = true, now
-		t.mayHaveExpired = !t.Draining && (hadRecentOutage || massRemoved[t.Service])
-		c.notify(TargetRemoved, t)
 	}
 }
 
@@ -173,7 +188,7 @@
 			continue
 		}
 		present[t.Service]++
-		if _, ok := cat.Target(t.ID); ok {
+		if _, ok := cat.Target(t.ID); ok || cat.HasInvalidEntry(t.ID) {
 			remaining[t.Service]++
 		}
 	}
--- a/reader/codec_test.go
+++ b/reader/codec_test.go
@@ -61,7 +61,11 @@
 		reader.Lookup{Stamps: []uint32{3, 5}},
 		reader.Found{Targets: []placement.FoundTarget{{Target: someTargets(1)[0]}, {Target: someTargets(2)[1], Dead: true}}},
 		reader.Update{Position: at(12), HasAllTargets: true, Targets: someTargets(150)},
+		reader.Update{Position: at(12), HasAllTargets: true, Targets: someTargets(1), InvalidEntries: []catalog.InvalidEntry{{ID: "x", Position: at(12)}}},
 		reader.Update{Position: at(12), Base: at(10), Changes: []catalog.Change{{Target: someTargets(1)[0]}}},
+		reader.Update{Position: at(12), Base: at(10), Changes: []catalog.Change{
+			{Target: catalog.Target{ID: "gone", Position: at(12)}, Removed: true}, {Target: catalog.Target{ID: "odd", Position: at(12)}, Removed: true, Invalid: true},
+		}},
 		reader.Update{Position: at(13), Base: at(12), Changes: []catalog.Change{{Target: catalog.Target{ID: "i-1", Position: at(13)}, Removed: true}}},
 		reader.Update{Position: at(14), Base: at(2), Digest: 1<<63 + 5, RouteChanges: &route.Changes{
 			Number: 4, IdleTimeout: time.Second, Updated: someRoutes(3), Removed: []route.Address{{IP: 4, Port: 80}},
--- a/reader/codec_update.go
+++ b/reader/codec_update.go
@@ -32,12 +32,18 @@
 		m.Targets = append(m.Targets, targetToProto(t))
 	}
 	for _, ch := range u.Changes {
+		if ch.Invalid {
+			m.Invalid = append(m.Invalid, ch.Target.ID)
+		}
 		if ch.Removed {
 			m.Removed = append(m.Removed, ch.Target.ID)
 			continue
 		}
 		m.Targets = append(m.Targets, targetToProto(ch.Target))
 	}
+	for _, e := range u.InvalidEntries {
+		m.Invalid = append(m.Invalid, e.ID)
+	}
 	return m
 }
 
@@ -79,10 +85,18 @@
 		}
 		u.Changes = append(u.Changes, catalog.Change{Target: t})
 	}
+	// The wire form has no revision for a removal and for an invalid entry. The update's
+	// position is newer than that of any entry that it replaces.
+	if u.HasAllTargets {
+		for _, id := range m.Invalid {
+			u.InvalidEntries = append(u.InvalidEntries, catalog.InvalidEntry{ID: id, Position: u.Position})
+		}
+		return u, invalid
+	}
 	for _, id := range m.Removed {
-		// The wire form has no revision for a removal. The update's position is newer
-		// than that of any entry that it removes.
-		u.Changes = append(u.Changes, catalog.Change{Target: catalog.Target{ID: id, Position: u.Position}, Removed: true})
+		u.Changes = append(u.Changes, catalog.Change{
+			Target: catalog.Target{ID: id, Position: u.Position}, Removed: true, Invalid: slices.Contains(m.Invalid, id),
+		})
 	}
 	return u, invalid
 }
--- a/reader/message.go
+++ b/reader/message.go
@@ -76,6 +76,8 @@
 	HasAllTargets bool
 	// Targets are all targets, if HasAllTargets is set.
 	Targets []catalog.Target
+	// InvalidEntries are all invalid entries of targets, if HasAllTargets is set.
+	InvalidEntries []catalog.InvalidEntry
 	// Changes is a delta of the targets: those that were added, changed or removed.
 	Changes []catalog.Change
 	// Evacuations is the snapshot of the evacuated failure domains.
--- a/reader/reader.go
+++ b/reader/reader.go
@@ -321,7 +321,7 @@
 			return
 		}
 		ignored.CatalogPosition, ignored.Number = c.catalog.RoutesPosition(), u.Routes.Number()
-	} else if !c.catalog.Lacks(u.Changes) && (!u.HasAllTargets || len(c.catalog.Diff(u.Targets, u.Position)) == 0) {
+	} else if !c.catalog.Lacks(u.Changes) && (!u.HasAllTargets || len(c.catalog.Diff(u.Targets, u.Position, u.InvalidEntries...)) == 0) {
 		return
 	}
 	c.effects = append(c.effects, ignored)
@@ -336,7 +336,7 @@
 		changes := previous.Routes().Diff(*u.Routes)
 		return Update{Position: u.Position, Base: previous.RoutesPosition(), RouteChanges: &changes}
 	case u.HasAllTargets && previous.TargetsPosition().IsKnown():
-		return Update{Position: u.Position, Base: previous.TargetsPosition(), Changes: previous.Diff(u.Targets, u.Position)}
+		return Update{Position: u.Position, Base: previous.TargetsPosition(), Changes: previous.Diff(u.Targets, u.Position, u.InvalidEntries...)}
 	default:
 		return u
 	}
--- a/reader/update.go
+++ b/reader/update.go
@@ -92,7 +92,9 @@
 	for _, t := range c.catalog.Targets() {
 		targets = append(targets, t)
 	}
-	return Update{Position: c.catalog.TargetsPosition(), HasAllTargets: true, Targets: targets}
+	return Update{
+		Position: c.catalog.TargetsPosition(), HasAllTargets: true, Targets: targets, InvalidEntries: c.catalog.InvalidEntries(),
+	}
 }
 
 // handleUpdate applies an update from a peer. If the update is a delta from a newer
@@ -159,7 +161,7 @@
 	case u.RouteChanges != nil:
 		return c.catalog.WithRoutes(c.catalog.Routes().WithChanges(*u.RouteChanges), u.Position)
 	case u.HasAllTargets:
-		return c.catalog.WithTargets(u.Targets, u.Position)
+		return c.catalog.WithTargets(u.Targets, u.Position, u.InvalidEntries...)
 	default:
 		return c.catalog.WithChanges(u.Changes, u.Position)
 	}
