soak: write over entries of targets, give the pages of stale lists different ages

Two additions to each plan, with random numbers of their own so that the other faults of a seed stay: ForeignEntries writes over the entries of two targets at a time, again and again for up to 3 s, and lists have pages of five objects of which each shows a state of up to 2 s ago. A restore clears the states of the era before.

--- a/fake/platform_restore.go
+++ b/fake/platform_restore.go
@@ -38,6 +38,7 @@
 	p.era++
 	p.revision, p.objects = b.revision, copyObjects(b.objects)
 	p.history, p.compactedRevision = slices.Clone(b.history), b.compactedRevision
+	clear(p.snapshots) // They are of the era before.
 	p.wakeWatches()
 }
 
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -55,6 +55,8 @@
 	// TargetReplacement starts another target, drains the old one and stops it
 	// drainDuration later.
 	TargetReplacement Fault = "target replaced"
+	// ForeignEntries writes over the entries of some targets as another program may do.
+	ForeignEntries Fault = "entries written over"
 	// ConfigChange writes the next version of the configuration.
 	ConfigChange Fault = "configuration changes"
 	// Evacuation requests the evacuation of a failure domain and withdraws the request
@@ -130,6 +132,7 @@
 	}
 	steps = append(steps, evacuationSteps(seed, length)...)
 	steps = append(steps, restoreSteps(seed, length)...)
+	steps = append(steps, entrySteps(seed, length)...)
 	slices.SortFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -148,7 +148,7 @@
 // start starts the store, the hosts and the targets, and waits until the hosts
 // are ready.
 func (r *run) start() error {
-	r.store = fake.NewPlatform(fake.PlatformConfig{EntryTTL: 1500 * time.Millisecond, Seed: r.cfg.Seed})
+	r.store = fake.NewPlatform(fake.PlatformConfig{EntryTTL: 1500 * time.Millisecond, Seed: r.cfg.Seed, PageObjects: pageObjects, PageLag: r.pageLag})
 	storeAddress := fmt.Sprintf("%s:%d", r.ip(0, 1), storePort)
 	l, err := net.Listen("tcp4", storeAddress)
 	if err != nil {
@@ -311,6 +311,8 @@
 		r.injectTargetFault(s)
 	case Evacuation:
 		r.injectEvacuation(s)
+	case ForeignEntries:
+		r.injectForeignEntries(s)
 	case ConfigChange:
 		if err := r.env.Configure(r.ctx); err != nil {
 			return // During an outage of the store, the write fails as expected.
