--- a/reader/reader.go
+++ b/reader/reader.go
@@ -67,84 +67,6 @@
 	UsesEvacuations bool
 }
 
-// Effect is an action that the caller of a Core must execute: Send, Publish, Ignored
-// or Mismatch.
-type Effect interface {
-	isEffect()
-}
-
-// Send is the effect of sending a message to a host.
-type Send struct {
-	To      Member
-	Message Message
-}
-
-// Publish is the effect of replacing the catalog that this host uses.
-type Publish struct {
-	Catalog catalog.Catalog
-}
-
-// Ignored is the effect of reporting a response of the store that differs from the
-// catalog and was not applied, because the catalog is newer by position or version number.
-// It is rare: a response that another reader's update has overtaken, or a store that has
-// come back from an older copy.
-type Ignored struct {
-	// Position is the position of the response.
-	Position catalog.Position
-	// CatalogPosition is the position of the same part of the catalog.
-	CatalogPosition catalog.Position
-	// Number is the version number of the routing table in the response, 0 if the response
-	// is about targets.
-	Number uint64
-	// CatalogNumber is the version number of the catalog's routing table.
-	CatalogNumber uint64
-}
-
-// Mismatch is the effect of reporting a delta of another host that was not applied,
-// because it was computed from other content than the catalog's. A snapshot is requested
-// instead.
-type Mismatch struct {
-	// Position is the position after the delta, Base that before it.
-	Position, Base catalog.Position
-	// IsRoutes reports whether the delta is about the routing table. Otherwise it is about
-	// targets.
-	IsRoutes bool
-}
-
-func (Send) isEffect()     {}
-func (Publish) isEffect()  {}
-func (Ignored) isEffect()  {}
-func (Mismatch) isEffect() {}
-
-// peer is what this host knows of another host.
-type peer struct {
-	Member
-	// heartbeat is the last heartbeat from the host, valid if hasHeartbeat is set.
-	heartbeat Heartbeat
-	// lastHeartbeatAt is when the last heartbeat was received or, before the first one,
-	// when the host became known.
-	lastHeartbeatAt time.Duration
-	hasHeartbeat    bool
-	// readingSince is when the host began to report that it is a reader, 0 if it does not.
-	readingSince time.Duration
-	// heard reports whether any message was received from the host.
-	heard bool
-	// lastMessageAt is when the last message of any kind was received or, before the
-	// first one, when the host was first listed at its address.
-	lastMessageAt time.Duration
-}
-
-// recordHeartbeat records a heartbeat from the host.
-func (p *peer) recordHeartbeat(now time.Duration, h Heartbeat) {
-	p.heartbeat, p.lastHeartbeatAt, p.hasHeartbeat = h, now, true
-	switch {
-	case !h.IsReading:
-		p.readingSince = 0
-	case p.readingSince == 0:
-		p.readingSince = now
-	}
-}
-
 // Core holds the state of one host and makes its decisions.
 type Core struct {
 	cfg   Config
@@ -348,19 +270,6 @@
 	return minHeartbeatInterval * time.Duration(max(maxHostsAtMinInterval, len(c.group))) / maxHostsAtMinInterval
 }
 
-// peerFor returns the peer that sent a message. It adds the peer if it is unknown, and
-// replaces it if it has a new address.
-func (c *Core) peerFor(now time.Duration, m Member) *peer {
-	p := c.peers[m.Name]
-	if p == nil || p.Address != m.Address {
-		p = &peer{Member: m, lastHeartbeatAt: now}
-		c.peers[m.Name] = p
-		c.updateGroup()
-	}
-	p.lastMessageAt, p.heard = now, true
-	return p
-}
-
 // ownHeartbeat returns the heartbeat of this host. If the store never responded to
 // it, the heartbeat's StoreAge is large enough for the host not to count as a
 // reader.
