--- a/placement/status.go
+++ b/placement/status.go
@@ -20,9 +20,9 @@
 	Speed float64 `json:"speed,omitempty"`
 	// PeerLoad is the load that domain peers add.
 	PeerLoad TargetLoad `json:"others"`
-	// State is ready, draining, evacuated, gone (removed from the catalog), invalid (its
-	// entry is), suspect, failing, dead, collides or untrusted (the entry comes from an older copy of the store
-	// and contradicts what was known before).
+	// State is ready, draining, evacuated, gone (removed from the catalog), invalid (another
+	// program has written the entry), suspect, failing, dead, collides or untrusted (the entry
+	// comes from an older copy of the store and contradicts what was known before).
 	State string `json:"state"`
 	// Warmup is the time until the end of the target's warm-up, such as 1.5s. It is empty
 	// if the target is not warming up.
